--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Entry points for users and CI. Pass SEED=n or QUICK=1 to `make measure`.
+BUILD ?= build
+JOBS ?= 8
+SANITIZER ?=
+
+.PHONY: run test build packages format lint measure golden
+run: packages build
+	tools/run.sh $(BUILD)
+
+test: packages build
+	ctest --test-dir $(BUILD) --output-on-failure
+
+packages:
+	tools/install-packages.sh
+
+build:
+	cmake -S . -B $(BUILD) -G Ninja -DDAMASKHALL_SANITIZER=$(SANITIZER)
+	cmake --build $(BUILD) -j $(JOBS)
+
+format:
+	git ls-files '*.cpp' '*.h' | xargs -r clang-format -i
+
+lint:
+	tools/lint.sh $(BUILD)
+
+measure: build
+	$(BUILD)/bin/damaskhall-measure $(if $(SEED),--seed $(SEED)) $(if $(QUICK),--quick)
+
+golden: build
+	DAMASKHALL_UPDATE_GOLDEN=1 $(BUILD)/bin/damaskhall-tests --gtest_filter='*Golden*'
--- /dev/null
+++ b/src/client/requestclient.cpp
@@ -0,0 +1,155 @@
+#include "client/requestclient.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace damaskhall {
+
+namespace {
+
+constexpr Milliseconds ResendInterval = 200_ms;
+
+/// Refusals that another try can overcome: the state of the system changes by itself.
+bool isTemporary(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::QueueFull:
+    case RefusalReason::NoUpstream:
+    case RefusalReason::Leaving:
+    case RefusalReason::UpstreamShed:
+    case RefusalReason::ExpiredToken:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+RequestClient::RequestClient(const Reserve &reservation, std::string body, Milliseconds now)
+    : m_reservation(reservation)
+    , m_body(std::move(body))
+    , m_startedAt(now)
+    , m_deadline(now + reservation.remaining)
+    , m_nextSend(now)
+{
+}
+
+void RequestClient::tick(Milliseconds now, std::vector<Frame> &out)
+{
+    if (isFinished()) {
+        return;
+    }
+    if (now >= m_deadline) {
+        // Nothing ran if no Execute was sent: a reservation runs nothing.
+        const bool neverSent = m_phase == RequestPhase::Reserving;
+        m_phase = neverSent ? RequestPhase::Refused : RequestPhase::Unknown;
+        m_refusal = RefusalReason::DeadlinePassed;
+        out.emplace_back(Cancel{m_reservation.request, m_reservation.service, m_permit});
+        return;
+    }
+    if (now < m_nextSend) {
+        return;
+    }
+    m_nextSend = now + ResendInterval;
+    if (m_phase == RequestPhase::Reserving) {
+        Reserve reserve = m_reservation;
+        reserve.remaining = m_deadline - now;
+        reserve.waited = now - m_startedAt;
+        out.emplace_back(reserve);
+    } else {
+        out.emplace_back(Execute{m_reservation.request, m_permit, m_deadline - now, m_body});
+    }
+}
+
+void RequestClient::handle(const Frame &frame, Milliseconds now, std::vector<Frame> &out)
+{
+    if (const auto *permit = std::get_if<Permit>(&frame)) {
+        handlePermit(*permit, now, out);
+    } else if (const auto *answer = std::get_if<Answer>(&frame)) {
+        handleAnswer(*answer, out);
+    } else if (const auto *refusal = std::get_if<Refusal>(&frame)) {
+        handleRefusal(*refusal, now);
+    }
+}
+
+void RequestClient::handlePermit(const Permit &frame, Milliseconds now, std::vector<Frame> &out)
+{
+    if (frame.request != m_reservation.request || frame.permit == m_permit) {
+        return;
+    }
+    if (m_phase != RequestPhase::Reserving) {
+        // Returns the capacity that another dispatcher holds for this request.
+        out.emplace_back(Cancel{frame.request, m_reservation.service, frame.permit});
+        return;
+    }
+    m_permit = frame.permit;
+    m_phase = RequestPhase::Executing;
+    m_nextSend = now;
+    tick(now, out);
+}
+
+void RequestClient::handleAnswer(const Answer &frame, std::vector<Frame> &out)
+{
+    if (frame.request != m_reservation.request || m_permit.empty()) {
+        return;
+    }
+    if (m_phase == RequestPhase::Answered) {
+        out.emplace_back(AnswerAck{frame.request, m_permit});
+        return;
+    }
+    if (m_phase != RequestPhase::Executing) {
+        return;
+    }
+    if (frame.outcome == Outcome::Unknown) {
+        m_phase = RequestPhase::Unknown;
+        return;
+    }
+    if (m_fragments.empty()) {
+        m_fragments.resize(frame.fragmentCount);
+    }
+    if (frame.fragment >= m_fragments.size()) {
+        return;
+    }
+    m_fragments[frame.fragment] = frame.body;
+    const bool isComplete = std::all_of(m_fragments.begin(), m_fragments.end(),
+                                        [](const auto &fragment) { return fragment.has_value(); });
+    if (isComplete) {
+        m_phase = RequestPhase::Answered;
+        out.emplace_back(AnswerAck{frame.request, m_permit});
+    }
+}
+
+void RequestClient::handleRefusal(const Refusal &frame, Milliseconds now)
+{
+    if (frame.subject != m_reservation.request.value || isFinished()) {
+        return;
+    }
+    // After an Execute only its owner's refusal, which names the permit, means "not run".
+    if (frame.permit != m_permit) {
+        return;
+    }
+    m_refusal = frame.reason;
+    if (!isTemporary(frame.reason)) {
+        m_phase = RequestPhase::Refused;
+        return;
+    }
+    m_phase = RequestPhase::Reserving;
+    m_permit.clear();
+    m_nextSend = now + frame.retryAfter;
+}
+
+std::string RequestClient::answer() const
+{
+    std::string whole;
+    if (m_phase != RequestPhase::Answered) {
+        return whole;
+    }
+    for (const auto &fragment : m_fragments) {
+        whole += *fragment;
+    }
+    return whole;
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/client/requestclient.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "core/messages.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace damaskhall {
+
+enum class RequestPhase : std::uint8_t {
+    Reserving,
+    Executing,
+    Answered,
+    /// Did not run.
+    Refused,
+    /// May or may not have run.
+    Unknown,
+};
+
+/// Caller's side of one request: Reserve until permitted, then Execute under that one permit until
+/// answered. Keeps the rule that at most one permit is used unless its owner refused the Execute.
+/// Events in, frames out; no I/O. Thread safety: none. @c now must not decrease.
+class RequestClient
+{
+public:
+    /// @p reservation gives ids and the deadline in @c remaining; @p body is sent with Execute.
+    RequestClient(const Reserve &reservation, std::string body, Milliseconds now);
+
+    /// Appends the frames that are due.
+    void tick(Milliseconds now, std::vector<Frame> &out);
+    /// Handles a frame from a balancer; frames of other requests are ignored.
+    void handle(const Frame &frame, Milliseconds now, std::vector<Frame> &out);
+
+    RequestPhase phase() const { return m_phase; }
+    bool isFinished() const { return m_phase > RequestPhase::Executing; }
+    /// Complete answer; empty unless phase() is Answered.
+    std::string answer() const;
+    /// Reason of the last refusal; set if phase() is Refused.
+    std::optional<RefusalReason> refusal() const { return m_refusal; }
+    Milliseconds startedAt() const { return m_startedAt; }
+
+private:
+    void handlePermit(const Permit &frame, Milliseconds now, std::vector<Frame> &out);
+    void handleAnswer(const Answer &frame, std::vector<Frame> &out);
+    void handleRefusal(const Refusal &frame, Milliseconds now);
+
+    Reserve m_reservation;
+    std::string m_body;
+    Milliseconds m_startedAt;
+    Milliseconds m_deadline;
+    Milliseconds m_nextSend;
+    RequestPhase m_phase = RequestPhase::Reserving;
+    SealedToken m_permit;
+    std::vector<std::optional<std::string>> m_fragments;
+    std::optional<RefusalReason> m_refusal;
+};
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/config/declaration.cpp
@@ -0,0 +1,57 @@
+#include "config/declaration.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace damaskhall {
+
+namespace {
+
+std::uint32_t hashName(std::string_view name)
+{
+    return XXH32(name.data(), name.size(), 0);
+}
+
+} // namespace
+
+const ServiceDeclaration *Declaration::findService(ServiceId id) const
+{
+    const auto found = std::find_if(services.begin(), services.end(),
+                                    [id](const auto &service) { return service.id == id; });
+    return found == services.end() ? nullptr : &*found;
+}
+
+const ClassDeclaration *Declaration::findClass(ServiceId service, ClassId id) const
+{
+    const ServiceDeclaration *declared = findService(service);
+    if (!declared) {
+        return nullptr;
+    }
+    const auto &classes = declared->classes;
+    const auto found = std::find_if(classes.begin(), classes.end(),
+                                    [id](const auto &candidate) { return candidate.id == id; });
+    return found == classes.end() ? nullptr : &*found;
+}
+
+bool Declaration::hasHouse(HouseId id) const
+{
+    return std::any_of(houses.begin(), houses.end(),
+                       [id](const auto &house) { return house.id == id; });
+}
+
+ServiceId serviceId(std::string_view service)
+{
+    return {hashName(service)};
+}
+
+ClassId classId(std::string_view service, std::string_view className)
+{
+    return {hashName(std::string(service) + "/" + std::string(className))};
+}
+
+HouseId houseId(std::string_view house)
+{
+    return {hashName(house)};
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/config/declaration.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/milliseconds.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace damaskhall {
+
+enum class WorkKind : std::uint8_t {
+    Feed,
+    Request,
+    Upload,
+};
+
+/// One class of work of a service and its target.
+struct ClassDeclaration
+{
+    ClassId id;
+    std::string name;
+    WorkKind kind = WorkKind::Request;
+    bool idempotent = false;
+    /// Feed: time from push to receipt. Request: time from arrival to answer. Upload: time from
+    /// arrival to storage.
+    Milliseconds target;
+
+    bool operator==(const ClassDeclaration &) const = default;
+};
+
+struct ServiceDeclaration
+{
+    ServiceId id;
+    std::string name;
+    std::vector<ClassDeclaration> classes;
+
+    bool operator==(const ServiceDeclaration &) const = default;
+};
+
+struct HouseDeclaration
+{
+    HouseId id;
+    std::string name;
+
+    bool operator==(const HouseDeclaration &) const = default;
+};
+
+/// What operators state. Plain data: sorted by name in each vector, so that equal declarations
+/// compare equal. Thread safety: a plain value.
+struct Declaration
+{
+    Revision revision;
+    std::vector<ServiceDeclaration> services;
+    std::vector<HouseDeclaration> houses;
+
+    bool operator==(const Declaration &) const = default;
+
+    /// Returns the service, or null if it is not declared. The pointer lives as long as *this.
+    const ServiceDeclaration *findService(ServiceId id) const;
+    /// Returns the class of the service, or null if either is not declared.
+    const ClassDeclaration *findClass(ServiceId service, ClassId id) const;
+    bool hasHouse(HouseId id) const;
+};
+
+/// Returns the id of a service: the 32-bit xxHash of its name. Thread safety: reentrant.
+ServiceId serviceId(std::string_view service);
+/// Returns the id of a class: the 32-bit xxHash of "service/class". Thread safety: reentrant.
+ClassId classId(std::string_view service, std::string_view className);
+/// Returns the id of a house: the 32-bit xxHash of its name. Thread safety: reentrant.
+HouseId houseId(std::string_view house);
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/reasons.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace damaskhall {
+
+/// Why work was refused or a packet was dropped.
+enum class RefusalReason : std::uint8_t {
+    UnknownService,
+    UnknownClass,
+    UnknownHouse,
+    WrongKind,
+    BadToken,
+    ExpiredToken,
+    WrongService,
+    QueueFull,
+    DeadlineUnreachable,
+    DeadlinePassed,
+    NoUpstream,
+    Leaving,
+    UpstreamShed,
+    Cancelled,
+    OwnerUnreachable,
+    NoRecord,
+    Malformed,
+    Oversized,
+    ProtocolVersion,
+};
+inline constexpr int RefusalReasonCount = 19;
+
+/// Why something was sent again.
+enum class RetryReason : std::uint8_t {
+    UpstreamShed,
+    UpstreamDraining,
+    UpstreamTimeout,
+    PathSilent,
+    PeerReconnect,
+    PlatformRetry,
+};
+inline constexpr int RetryReasonCount = 6;
+
+/// Returns the name in lower case with underscores, as used in counters and logs.
+/// Thread safety: reentrant.
+std::string_view toString(RefusalReason reason);
+/// Returns the name in lower case with underscores, as used in counters and logs.
+/// Thread safety: reentrant.
+std::string_view toString(RetryReason reason);
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/node/trafficworker.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/result.h"
+#include "core/router.h"
+#include "core/routingview.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace damaskhall {
+
+/// Settings of the traffic path.
+struct TrafficOptions
+{
+    InstanceId self;
+    Incarnation incarnation;
+    Endpoint listen;
+};
+
+/// Traffic thread: owns the UDP sockets and the Router, and carries out the Router's actions.
+/// Thread safety: public methods may be called from any thread unless noted.
+class TrafficWorker
+{
+public:
+    /// Preconditions: all hooks are set; those that count and report may be called on the traffic
+    /// thread.
+    TrafficWorker(const TrafficOptions &options, const CoreHooks &hooks, Clock clock);
+    ~TrafficWorker();
+    TrafficWorker(const TrafficWorker &) = delete;
+    TrafficWorker &operator=(const TrafficWorker &) = delete;
+
+    /// Opens the socket and starts the thread. Errors: System with Step::OpenSocket.
+    Result<void> start();
+
+    /// Publishes a new view to the traffic thread. Precondition: @p view is not null.
+    void publish(std::shared_ptr<const RoutingView> view);
+
+    /// Starts a graceful stop of the dispatcher.
+    void beginLeaving();
+
+    /// Returns what the dispatcher held at the last tick.
+    DispatcherLoad load() const;
+
+    /// Ends the thread and waits for it.
+    void stop();
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_d;
+};
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/node/udpport.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/result.h"
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include <asio/io_context.hpp>
+
+namespace damaskhall {
+
+/// UDP socket that reads in batches on an io_context.
+/// Thread safety: all calls come from the thread that runs the io_context.
+class UdpPort
+{
+public:
+    /// Called for each datagram; the view is valid only during the call.
+    using Receiver = std::function<void(std::string_view datagram, Endpoint from)>;
+
+    /// Binds to @p local (port 0: an ephemeral port) and starts reading. Errors: System with
+    /// Step::OpenSocket.
+    static Result<std::unique_ptr<UdpPort>> open(asio::io_context &context, Endpoint local,
+                                                 Receiver receiver);
+    ~UdpPort();
+    UdpPort(const UdpPort &) = delete;
+    UdpPort &operator=(const UdpPort &) = delete;
+
+    /// Sends one datagram without blocking. A datagram that the system cannot take is lost, as on
+    /// any network; senders retransmit.
+    void send(std::string_view datagram, Endpoint to);
+
+    Endpoint local() const;
+
+private:
+    struct Private;
+    explicit UdpPort(std::shared_ptr<Private> d);
+    std::shared_ptr<Private> m_d;
+};
+
+} // namespace damaskhall
