--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,10 @@
 JOBS ?= 8
 SANITIZER ?=
 
+# Lets checkouts in different folders share compiler results.
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := 1
+
 .PHONY: run test build packages format lint measure golden
 run: packages build
 	tools/run.sh $(BUILD)
--- a/fakes/session.cpp
+++ b/fakes/session.cpp
@@ -59,6 +59,8 @@
     hooks.random = seededRandom(m_random());
     hooks.countRefusal = [this](RefusalReason reason, ServiceId, ClassId) { ++m_refusals[reason]; };
     hooks.countRetry = [this](RetryReason reason, ServiceId, ClassId) { ++m_retries[reason]; };
+    hooks.countEvent = [](CoreEvent, ServiceId, ClassId) {};
+    hooks.observe = [](CoreSample, ServiceId, ClassId, Milliseconds) {};
     hooks.reportLeaving = [this](UpstreamId id) {
         const auto upstream = m_upstreams.find(id);
         if (upstream != m_upstreams.end()) {
--- a/src/apps/damaskhall-balancer.cpp
+++ b/src/apps/damaskhall-balancer.cpp
@@ -57,6 +57,8 @@
     hooks.random = systemRandom();
     hooks.countRefusal = [](RefusalReason, ServiceId, ClassId) {};
     hooks.countRetry = [](RetryReason, ServiceId, ClassId) {};
+    hooks.countEvent = [](CoreEvent, ServiceId, ClassId) {};
+    hooks.observe = [](CoreSample, ServiceId, ClassId, Milliseconds) {};
     hooks.reportLeaving = [](UpstreamId) {};
     return hooks;
 }
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -249,6 +249,11 @@
     return load;
 }
 
+TrafficStatus Dispatcher::status() const
+{
+    return {};
+}
+
 void Dispatcher::refuse(std::uint64_t subject, Endpoint caller, RefusalReason reason,
                         ServiceId service, ClassId workClass, Actions &actions)
 {
--- a/src/core/dispatch/dispatcher.h
+++ b/src/core/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "core/corehooks.h"
 #include "core/messages.h"
 #include "core/routingview.h"
+#include "core/status.h"
 
 #include <cstddef>
 #include <deque>
@@ -63,6 +64,9 @@
 
     DispatcherLoad load() const;
 
+    /// Returns a snapshot for operators.
+    TrafficStatus status() const;
+
 private:
     enum class Phase {
         Waiting,
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -38,6 +38,8 @@
     void beginLeaving(Milliseconds now, Actions &actions);
 
     DispatcherLoad load() const { return m_dispatcher.load(); }
+    /// Returns a snapshot for operators.
+    TrafficStatus status() const { return m_dispatcher.status(); }
 
 private:
     template <typename Inner>
