Add the upload client and a caller for all kinds of work

Cause: uploads had no caller's side, callers never changed their local port, and the caller stand-in knew one request class and one feed class and could not tell doubled or lost work.

Change: UploadClient sends chunks of at most 1,200 bytes within a window of eight, resumes at the acknowledged offset and replaces a silent or refused upstream by a new Reserve. Clients ask for a new local port when they are unanswered (3 s for feeds, 1 s for the others). A feed opens again after three refusals in a row without a sign of life, as one balancer's directory may lag.

--- a/src/client/feedclient.h
+++ b/src/client/feedclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/control/replywatch.h"
 #include "core/messages.h"
 
 #include <cstdint>
@@ -7,7 +8,8 @@
 
 namespace damaskhall {
 
-/// Caller's side of one feed: opens it, keeps it alive and acknowledges pushes.
+/// Caller's side of one feed: opens it, keeps it alive and acknowledges pushes. A feed whose
+/// upstream is gone counts as broken and is opened again.
 /// Events in, frames out; no I/O. Thread safety: none. @c now must not decrease.
 class FeedClient
 {
@@ -24,13 +26,31 @@
     Milliseconds silence(Milliseconds now) const { return now - m_lastHeard; }
     /// Highest sequence received in order.
     std::uint64_t received() const { return m_received; }
+    /// Number of times that the feed was opened.
+    unsigned opened() const { return m_opened; }
+    /// Number of times that the feed lost its upstream.
+    unsigned broken() const { return m_broken; }
+    /// Number of times that a new local port was asked for. When it rises, the adapter sends from a
+    /// new port; the old one may still receive.
+    unsigned portChanges() const { return m_portChanges; }
 
 private:
+    void handleOpenReply(const OpenReply &frame, Milliseconds now, std::vector<Frame> &out);
+    void handlePush(const Push &frame, Milliseconds now, std::vector<Frame> &out);
+    void handleRefusal(const Refusal &frame, Milliseconds now);
+    void hear(Milliseconds now);
+    void reopen(Milliseconds now);
+
     Open m_open;
     SealedToken m_token;
     Milliseconds m_nextSend;
     Milliseconds m_lastHeard;
+    ReplyWatch m_replies;
     std::uint64_t m_received = 0;
+    unsigned m_refusalsInRow = 0;
+    unsigned m_opened = 0;
+    unsigned m_broken = 0;
+    unsigned m_portChanges = 0;
 };
 
 } // namespace damaskhall
--- a/src/client/requestclient.cpp
+++ b/src/client/requestclient.cpp
@@ -1,32 +1,13 @@
 #include "client/requestclient.h"
 
+#include "client/clienttimes.h"
+
 #include <algorithm>
 #include <utility>
 #include <variant>
 
 namespace damaskhall {
 
-namespace {
-
-constexpr Milliseconds ResendInterval = 200_ms;
-
-/// Refusals that another try can overcome: the state of the system changes by itself.
-bool isTemporary(RefusalReason reason)
-{
-    switch (reason) {
-    case RefusalReason::QueueFull:
-    case RefusalReason::NoUpstream:
-    case RefusalReason::Leaving:
-    case RefusalReason::UpstreamShed:
-    case RefusalReason::ExpiredToken:
-        return true;
-    default:
-        return false;
-    }
-}
-
-} // namespace
-
 RequestClient::RequestClient(const Reserve &reservation, std::string body, Milliseconds now)
     : m_reservation(reservation)
     , m_body(std::move(body))
@@ -49,10 +30,16 @@
         out.emplace_back(Cancel{m_reservation.request, m_reservation.service, m_permit});
         return;
     }
+    if (m_replies.silence(now) >= RequestPortSilence) {
+        ++m_portChanges;
+        m_replies.heard();
+        m_nextSend = now;
+    }
     if (now < m_nextSend) {
         return;
     }
     m_nextSend = now + ResendInterval;
+    m_replies.sent(now);
     if (m_phase == RequestPhase::Reserving) {
         Reserve reserve = m_reservation;
         reserve.remaining = m_deadline - now;
@@ -84,6 +71,7 @@
         out.emplace_back(Cancel{frame.request, m_reservation.service, frame.permit});
         return;
     }
+    m_replies.heard();
     m_permit = frame.permit;
     m_phase = RequestPhase::Executing;
     m_nextSend = now;
@@ -130,6 +118,7 @@
     if (frame.permit != m_permit) {
         return;
     }
+    m_replies.heard();
     m_refusal = frame.reason;
     if (!isTemporary(frame.reason)) {
         m_phase = RequestPhase::Refused;
--- a/src/client/requestclient.h
+++ b/src/client/requestclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/control/replywatch.h"
 #include "core/messages.h"
 
 #include <cstdint>
@@ -39,6 +40,9 @@
     std::string answer() const;
     /// Reason of the last refusal; set if phase() is Refused.
     std::optional<RefusalReason> refusal() const { return m_refusal; }
+    /// Number of times that a new local port was asked for. When it rises, the adapter sends from a
+    /// new port; the old one may still receive.
+    unsigned portChanges() const { return m_portChanges; }
     Milliseconds startedAt() const { return m_startedAt; }
 
 private:
@@ -55,6 +59,8 @@
     SealedToken m_permit;
     std::vector<std::optional<std::string>> m_fragments;
     std::optional<RefusalReason> m_refusal;
+    ReplyWatch m_replies;
+    unsigned m_portChanges = 0;
 };
 
 } // namespace damaskhall
--- /dev/null
+++ b/src/client/uploadclient.cpp
@@ -0,0 +1,183 @@
+#include "client/uploadclient.h"
+
+#include "client/clienttimes.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+#include <variant>
+
+namespace damaskhall {
+
+namespace {
+
+constexpr std::uint64_t WindowBytes = 8 * UploadChunkBytes;
+/// Without progress for this long, everything after the acknowledged offset is sent again.
+constexpr Milliseconds ChunkResendInterval = 100_ms;
+/// An upstream that acknowledges nothing for longer than this is replaced. It is above two port
+/// changes, so that a silent path alone does not restart an upload.
+constexpr Milliseconds UpstreamSilenceLimit = 5_s;
+
+/// Returns another id that no other upload is likely to have (the finaliser of SplitMix64).
+RequestId nextId(RequestId id)
+{
+    std::uint64_t bits = id.value + 0x9e3779b97f4a7c15;
+    bits = (bits ^ bits >> 30) * 0xbf58476d1ce4e5b9;
+    bits = (bits ^ bits >> 27) * 0x94d049bb133111eb;
+    return RequestId{bits ^ bits >> 31};
+}
+
+} // namespace
+
+UploadClient::UploadClient(const Reserve &reservation, std::string body, Milliseconds now)
+    : m_reservation(reservation)
+    , m_body(std::move(body))
+    , m_startedAt(now)
+    , m_deadline(now + reservation.remaining)
+    , m_nextSend(now)
+    , m_lastHeard(now)
+{
+    assert(!m_body.empty());
+}
+
+void UploadClient::tick(Milliseconds now, std::vector<Frame> &out)
+{
+    if (isFinished()) {
+        return;
+    }
+    if (now >= m_deadline) {
+        m_phase = UploadPhase::Failed;
+        m_refusal = RefusalReason::DeadlinePassed;
+        out.emplace_back(Cancel{m_reservation.request, m_reservation.service, {}});
+        return;
+    }
+    changePortIfSilent(now);
+    if (m_phase == UploadPhase::Uploading && now - m_lastHeard >= UpstreamSilenceLimit) {
+        restart(now, out);
+    }
+    if (now < m_nextSend) {
+        return;
+    }
+    if (m_phase == UploadPhase::Reserving) {
+        sendReserve(now, out);
+    } else {
+        m_sent = m_acknowledged;
+        sendWindow(now, out);
+    }
+}
+
+void UploadClient::handle(const Frame &frame, Milliseconds now, std::vector<Frame> &out)
+{
+    if (const auto *reply = std::get_if<OpenReply>(&frame)) {
+        handleToken(*reply, now, out);
+    } else if (const auto *ack = std::get_if<UploadAck>(&frame)) {
+        handleAck(*ack, now, out);
+    } else if (const auto *refusal = std::get_if<Refusal>(&frame)) {
+        handleRefusal(*refusal, now, out);
+    }
+}
+
+void UploadClient::handleToken(const OpenReply &frame, Milliseconds now, std::vector<Frame> &out)
+{
+    if (m_phase != UploadPhase::Reserving || frame.subject != m_reservation.request.value) {
+        return;
+    }
+    m_token = frame.token;
+    m_phase = UploadPhase::Uploading;
+    m_lastHeard = now;
+    m_replies.heard();
+    m_refusalsInRow = 0;
+    sendWindow(now, out);
+}
+
+void UploadClient::handleAck(const UploadAck &frame, Milliseconds now, std::vector<Frame> &out)
+{
+    if (m_phase != UploadPhase::Uploading || frame.token != m_token) {
+        return;
+    }
+    m_lastHeard = now;
+    m_replies.heard();
+    m_refusalsInRow = 0;
+    if (frame.stored) {
+        m_phase = UploadPhase::Stored;
+        return;
+    }
+    if (frame.acknowledged > m_acknowledged && frame.acknowledged <= m_body.size()) {
+        m_acknowledged = frame.acknowledged;
+        m_sent = std::max(m_sent, m_acknowledged);
+        sendWindow(now, out);
+    }
+}
+
+void UploadClient::handleRefusal(const Refusal &frame, Milliseconds now, std::vector<Frame> &out)
+{
+    if (isFinished() || frame.subject != m_reservation.request.value) {
+        return;
+    }
+    if (m_phase == UploadPhase::Uploading) {
+        // Other reasons refuse an earlier Reserve and say nothing about the chunks.
+        if (frame.reason == RefusalReason::NoUpstream &&
+            ++m_refusalsInRow >= RefusalsUntilUpstreamGone) {
+            restart(now, out);
+        }
+        return;
+    }
+    m_refusal = frame.reason;
+    m_replies.heard();
+    if (!isTemporary(frame.reason)) {
+        m_phase = UploadPhase::Failed;
+        return;
+    }
+    m_nextSend = now + frame.retryAfter;
+}
+
+void UploadClient::restart(Milliseconds now, std::vector<Frame> &out)
+{
+    // Both free the slot that is held for the upload, in case that the upstream is alive.
+    out.emplace_back(Close{m_token});
+    out.emplace_back(Cancel{m_reservation.request, m_reservation.service, {}});
+    // Under the old id the dispatcher would repeat the token of the old upstream.
+    m_reservation.request = nextId(m_reservation.request);
+    m_phase = UploadPhase::Reserving;
+    m_token.clear();
+    m_acknowledged = 0;
+    m_sent = 0;
+    m_refusalsInRow = 0;
+    m_replies.heard();
+    m_nextSend = now;
+    ++m_restarts;
+}
+
+void UploadClient::changePortIfSilent(Milliseconds now)
+{
+    if (m_replies.silence(now) >= RequestPortSilence) {
+        ++m_portChanges;
+        m_replies.heard();
+        m_nextSend = now;
+    }
+}
+
+void UploadClient::sendReserve(Milliseconds now, std::vector<Frame> &out)
+{
+    Reserve reserve = m_reservation;
+    reserve.remaining = m_deadline - now;
+    reserve.waited = now - m_startedAt;
+    out.emplace_back(reserve);
+    m_replies.sent(now);
+    m_nextSend = now + ResendInterval;
+}
+
+void UploadClient::sendWindow(Milliseconds now, std::vector<Frame> &out)
+{
+    const std::uint64_t end = std::min<std::uint64_t>(m_body.size(), m_acknowledged + WindowBytes);
+    while (m_sent < end) {
+        const std::uint64_t size =
+                std::min<std::uint64_t>(UploadChunkBytes, m_body.size() - m_sent);
+        out.emplace_back(UploadChunk{m_token, m_sent, m_body.size(), m_body.substr(m_sent, size)});
+        m_sent += size;
+        m_replies.sent(now);
+    }
+    m_nextSend = now + ChunkResendInterval;
+}
+
+} // namespace damaskhall
--- a/standins/standin-upstream.cpp
+++ b/standins/standin-upstream.cpp
@@ -1,5 +1,11 @@
 // Stand-in for an upstream: runs every request packet that it gets while a slot is free, sheds the
-// rest, serves feeds, and leaves on SIGUSR1.
+// rest, serves feeds and uploads, and leaves on SIGUSR1. Faults are options.
+
+#include "feedstore.h"
+#include "loadreport.h"
+#include "runlog.h"
+#include "silentpaths.h"
+#include "uploadstore.h"
 
 #include "base/clock.h"
 #include "base/random.h"
@@ -12,7 +18,6 @@
 #include <atomic>
 #include <boost/program_options.hpp>
 #include <cmath>
-#include <fstream>
 #include <iostream>
 #include <map>
 #include <thread>
@@ -28,17 +33,24 @@
 constexpr Milliseconds PlatformTimeout = 1_s;
 constexpr Milliseconds ReplyResendInterval = 50_ms;
 constexpr int MaxReplySends = 20;
-constexpr Milliseconds FeedTimeout = 10_s;
+constexpr Milliseconds BusyLogInterval = 1_s;
 
 struct Options
 {
     UpstreamId id;
-    ServiceId service;
+    std::string service;
     Endpoint listen;
     Endpoint inner;
     unsigned slots = 2;
     double meanServiceMs = 40;
-    Milliseconds pushInterval = 1_s;
+    /// Time after the start in which requests take longer by coldFactor.
+    Milliseconds coldFor;
+    double coldFactor = 5;
+    Milliseconds pushInterval;
+    /// Share of requests that are shed although a slot is free.
+    double shedShare = 0;
+    LoadReport::Mode loadMode = LoadReport::Mode::Honest;
+    std::optional<Milliseconds> silentAfter;
 };
 
 class Upstream
@@ -47,7 +59,12 @@
     Upstream(const Options &options, const std::string &runLog)
         : m_options(options)
         , m_random(seededRandom(options.id.value))
-        , m_runLog(runLog, std::ios::app)
+        , m_startedAt(m_clock.now())
+        , m_log(runLog, options.service)
+        , m_load(options.loadMode, options.slots)
+        , m_silentPaths(silentFrom())
+        , m_feeds(options.pushInterval, [this](const Frame &frame) { toFabric(frame); })
+        , m_uploads(m_log, [this](const Frame &frame) { toFabric(frame); })
     {
     }
 
@@ -55,7 +72,7 @@
     {
         const auto receiver = [this](std::string_view datagram, Endpoint from) {
             const auto frame = decodeFrame(datagram);
-            if (frame) {
+            if (frame && !m_silentPaths.drops(from, m_clock.now())) {
                 handle(frame.assume_value(), from);
             }
         };
@@ -73,15 +90,15 @@
             }
         }
         std::erase_if(m_runs, [](const auto &entry) { return entry.second.sends > MaxReplySends; });
-        std::erase_if(m_feeds,
-                      [&](const auto &entry) { return now - entry.second.seen > FeedTimeout; });
-        for (auto &[token, feed] : m_feeds) {
-            pushIfDue(token, feed, now);
+        m_feeds.tick(now);
+        m_load.observe(m_busy, now);
+        if (now >= m_nextBusyLog) {
+            m_nextBusyLog = now + BusyLogInterval;
+            m_log.busy(m_options.id.value, m_options.slots, m_busyMs, now);
         }
     }
 
     void startLeaving() { m_isLeaving = true; }
-    bool isLeaving() const { return m_isLeaving; }
 
 private:
     struct Run
@@ -94,16 +111,14 @@
         int sends = 0;
     };
 
-    struct Feed
+    std::optional<Milliseconds> silentFrom() const
     {
-        Endpoint caller;
-        std::uint64_t sequence = 0;
-        std::uint64_t acknowledged = 0;
-        Milliseconds nextPush;
-        Milliseconds seen;
-    };
+        return m_options.silentAfter ? std::optional(m_startedAt + *m_options.silentAfter)
+                                     : std::nullopt;
+    }
 
     void send(const Frame &frame, Endpoint to) { m_port->send(encodeFrame(frame), to); }
+    void toFabric(const Frame &frame) { send(frame, m_options.inner); }
 
     void handle(const Frame &frame, Endpoint from)
     {
@@ -112,31 +127,36 @@
         } else if (const auto *ack = std::get_if<UpstreamReplyAck>(&frame)) {
             m_runs.erase(ack->attempt);
         } else if (const auto *keepalive = std::get_if<Forwarded<Keepalive>>(&frame)) {
-            handleKeepalive(*keepalive);
+            m_feeds.handle(*keepalive, m_clock.now());
         } else if (const auto *chunk = std::get_if<Forwarded<UploadChunk>>(&frame)) {
-            handleChunk(*chunk);
+            m_uploads.handle(*chunk);
         } else if (const auto *close = std::get_if<Forwarded<Close>>(&frame)) {
-            m_feeds.erase(close->inner.token);
+            m_feeds.close(close->inner.token);
+            m_uploads.close(close->inner.token);
         } else if (const auto *probe = std::get_if<Probe>(&frame)) {
-            const ProbeReply probeReply{
-                    probe->nonce, m_options.id, m_options.service,
-                    m_isLeaving,  m_busy,       static_cast<std::uint32_t>(m_feeds.size())};
-            send(probeReply, from);
+            const auto feeds = static_cast<std::uint32_t>(m_feeds.size());
+            send(ProbeReply{probe->nonce, m_options.id, serviceId(m_options.service), m_isLeaving,
+                            m_load.slotsInUse(), feeds},
+                 from);
         }
     }
 
     void handleRequest(const UpstreamRequest &request, Endpoint from)
     {
-        if (m_isLeaving || m_busy >= m_options.slots) {
+        const bool isFull = m_busy >= m_options.slots || randomUnit(m_random) < m_options.shedShare;
+        if (m_isLeaving || isFull) {
             const ReplyStatus status = m_isLeaving ? ReplyStatus::Draining : ReplyStatus::Shed;
             send(UpstreamReply{request.attempt, status, 0, 1, {}}, from);
             return;
         }
         ++m_busy;
-        // One line per run: the caller's table counts doubled requests with it.
-        m_runLog << request.body << std::endl;
-        const double serviceMs = -std::log(1.0 - randomUnit(m_random)) * m_options.meanServiceMs;
-        const Milliseconds end = m_clock.now() + Milliseconds{static_cast<std::int64_t>(serviceMs)};
+        m_log.run(request.body);
+        const Milliseconds now = m_clock.now();
+        const bool isCold = now - m_startedAt < m_options.coldFor;
+        const double mean = m_options.meanServiceMs * (isCold ? m_options.coldFactor : 1);
+        const double serviceMs = -std::log(1.0 - randomUnit(m_random)) * mean;
+        const Milliseconds end = now + Milliseconds{static_cast<std::int64_t>(serviceMs)};
+        m_busyMs += serviceMs;
         m_runs[request.attempt] = {from, request.body, end, false, 0};
     }
 
@@ -151,49 +171,21 @@
         send(UpstreamReply{attempt, ReplyStatus::Ok, 0, 1, "done " + run.body}, run.owner);
     }
 
-    void handleKeepalive(const Forwarded<Keepalive> &frame)
-    {
-        const Milliseconds now = m_clock.now();
-        Feed &feed = m_feeds[frame.inner.token];
-        feed.caller = frame.caller;
-        feed.seen = now;
-        feed.acknowledged = std::max(feed.acknowledged, frame.inner.acknowledged);
-        feed.sequence = std::max(feed.sequence, feed.acknowledged);
-        send(KeepaliveReply{frame.inner.token, feed.caller, feed.sequence}, m_options.inner);
-    }
-
-    void pushIfDue(const SealedToken &token, Feed &feed, Milliseconds now)
-    {
-        if (now < feed.nextPush) {
-            return;
-        }
-        feed.nextPush = now + m_options.pushInterval;
-        if (feed.acknowledged == feed.sequence) {
-            ++feed.sequence;
-        }
-        send(Push{token, feed.caller, feed.sequence, "update"}, m_options.inner);
-    }
-
-    void handleChunk(const Forwarded<UploadChunk> &frame)
-    {
-        std::uint64_t &received = m_uploads[frame.inner.token];
-        if (frame.inner.offset <= received) {
-            received = std::max(received, frame.inner.offset + frame.inner.body.size());
-        }
-        const bool isStored = received >= frame.inner.total;
-        send(UploadAck{frame.inner.token, frame.caller, received, isStored}, m_options.inner);
-    }
-
     Options m_options;
     Clock m_clock;
     RandomSource m_random;
-    std::ofstream m_runLog;
+    Milliseconds m_startedAt;
+    RunLogWriter m_log;
     std::unique_ptr<UdpPort> m_port;
     unsigned m_busy = 0;
+    double m_busyMs = 0;
+    Milliseconds m_nextBusyLog;
     bool m_isLeaving = false;
+    LoadReport m_load;
+    SilentPaths m_silentPaths;
     std::map<AttemptId, Run> m_runs;
-    std::map<SealedToken, Feed> m_feeds;
-    std::map<SealedToken, std::uint64_t> m_uploads;
+    FeedStore m_feeds;
+    UploadStore m_uploads;
 };
 
 void scheduleTick(asio::steady_timer &timer, Upstream &upstream)
@@ -211,14 +203,25 @@
 {
     Options options;
     options.id = UpstreamId{values["id"].as<std::uint64_t>()};
-    const std::string service = values["service"].as<std::string>();
-    options.service = serviceId(service);
+    options.service = values["service"].as<std::string>();
     BOOST_OUTCOME_TRY(listen, parseEndpoint(values["listen"].as<std::string>()));
     BOOST_OUTCOME_TRY(inner, parseEndpoint(values["inner"].as<std::string>()));
     BOOST_OUTCOME_TRY(platform, parseEndpoint(values["platform"].as<std::string>()));
     options.listen = listen;
     options.inner = inner;
+    options.slots = values["slots"].as<unsigned>();
     options.meanServiceMs = values["service-ms"].as<double>();
+    options.coldFor = Milliseconds{values["cold-ms"].as<std::int64_t>()};
+    options.pushInterval = Milliseconds{values["push-ms"].as<std::int64_t>()};
+    options.shedShare = values["shed"].as<double>();
+    if (values.count("silent-after-ms") > 0) {
+        options.silentAfter = Milliseconds{values["silent-after-ms"].as<std::int64_t>()};
+    }
+    const auto loadMode = LoadReport::parseMode(values["load"].as<std::string>());
+    if (!loadMode) {
+        return Error{ErrorCode::InvalidValue, Step::CheckSettings, "", "unknown value of --load"};
+    }
+    options.loadMode = *loadMode;
     asio::io_context context{1};
     Upstream upstream(options, values["run-log"].as<std::string>());
     BOOST_OUTCOME_TRYV(upstream.open(context));
@@ -230,7 +233,7 @@
         while (!isStopping) {
             const PlatformInstance self{
                     options.id.value, "upstream", listen,   values["data-centre"].as<std::string>(),
-                    service,          0,          isLeaving};
+                    options.service,  0,          isLeaving};
             static_cast<void>(client.registerInstance(self));
             std::this_thread::sleep_for(RegisterInterval);
         }
@@ -265,7 +268,13 @@
             ("platform", po::value<std::string>()->required(), "address and port of the platform")
             ("data-centre", po::value<std::string>()->required(), "data centre of this upstream")
             ("service-ms", po::value<double>()->default_value(40), "mean service time in ms")
-            ("run-log", po::value<std::string>()->required(), "file to append each run's body to");
+            ("slots", po::value<unsigned>()->default_value(2), "requests that run at once")
+            ("cold-ms", po::value<std::int64_t>()->default_value(0), "slow time after the start")
+            ("push-ms", po::value<std::int64_t>()->default_value(500), "time between pushes")
+            ("shed", po::value<double>()->default_value(0), "share of requests to shed, 0 to 1")
+            ("load", po::value<std::string>()->default_value("honest"), "honest, lagging or misleading")
+            ("silent-after-ms", po::value<std::int64_t>(), "time until all known senders are ignored")
+            ("run-log", po::value<std::string>()->required(), "file to append runs, stored uploads and busy times to");
         // clang-format on
         po::variables_map values;
         po::store(po::parse_command_line(argc, argv, options), values);
