--- a/src/client/requestclient.h
+++ b/src/client/requestclient.h
@@ -35,6 +35,8 @@
 
     RequestPhase phase() const { return m_phase; }
     bool isFinished() const { return m_phase > RequestPhase::Executing; }
+    /// Permit in use; empty while reserving.
+    const SealedToken &permit() const { return m_permit; }
     /// Complete answer; empty unless phase() is Answered.
     std::string answer() const;
     /// Reason of the last refusal; set if phase() is Refused.
