Add framed TCP connections for requests to upstreams

Cause: requests must reach an upstream at most once, which datagrams cannot promise.

Change: FrameStream and FrameListener (Asio) carry length-prefixed messages; send() says whether a message may have been written, so that the core can tell 'not sent' from 'unknown'. The traffic thread does not use them yet.

Result: tests cover split reads, an oversized length, a send before the connection stands and one after it has closed.

--- /dev/null
+++ b/tests/node/framestream_test.cpp
@@ -0,0 +1,84 @@
+#include "node/framestream.h"
+
+#include "wire/framecodec.h"
+#include "wire/streamframing.h"
+
+#include <gtest/gtest.h>
+#include <vector>
+
+namespace damaskhall {
+namespace {
+
+constexpr std::uint32_t Loopback = 0x7f000001;
+
+// Guards against messages that are merged, cut or lost when reads do not match writes.
+TEST(StreamReader, CutsTheStreamIntoMessages)
+{
+    StreamReader reader(100);
+    const std::string stream = frameForStream("first") + frameForStream("") + frameForStream("x");
+    std::vector<std::string> messages;
+    for (const char byte : stream) {
+        reader.append({&byte, 1});
+        while (true) {
+            const auto message = reader.next();
+            ASSERT_TRUE(message.has_value());
+            if (!message.assume_value()) {
+                break;
+            }
+            messages.push_back(*message.assume_value());
+        }
+    }
+    EXPECT_EQ(messages, (std::vector<std::string>{"first", "", "x"}));
+}
+
+// Guards against memory that a peer can make this process allocate.
+TEST(StreamReader, RefusesALengthAboveTheLimit)
+{
+    StreamReader reader(4);
+    reader.append(frameForStream("12345"));
+    const auto message = reader.next();
+    ASSERT_FALSE(message.has_value());
+    EXPECT_EQ(message.assume_error().code, ErrorCode::Oversized);
+}
+
+// Guards against a send that reports success although nothing can be written.
+TEST(FrameStream, CarriesMessagesAndReportsTheEnd)
+{
+    asio::io_context context;
+    std::string atServer;
+    const Endpoint local{Loopback, 17'431};
+    auto listener = FrameListener::open(context, local, [&](FrameStream *stream) {
+        FrameStream::Handlers handlers;
+        handlers.received = [&atServer, stream](std::string_view message) {
+            atServer = message;
+            stream->send("pong");
+        };
+        handlers.closed = [] {};
+        return handlers;
+    });
+    ASSERT_TRUE(listener.has_value());
+
+    std::string atClient;
+    bool isClosed = false;
+    FrameStream::Handlers handlers;
+    handlers.received = [&](std::string_view message) {
+        atClient = message;
+        listener.assume_value().reset();
+    };
+    handlers.closed = [&] { isClosed = true; };
+    auto client = FrameStream::connect(context, local, handlers);
+    EXPECT_FALSE(client->send("too early"));
+    while (!client->isConnected()) {
+        context.run_one();
+    }
+    EXPECT_TRUE(client->send("ping"));
+    while (!isClosed) {
+        context.run_one();
+    }
+    EXPECT_EQ(atServer, "ping");
+    EXPECT_EQ(atClient, "pong");
+    EXPECT_FALSE(client->send("too late"));
+}
+
+} // namespace
+} // namespace damaskhall
