Reach upstreams over replaceable paths

Cause: requests and probes left the main UDP socket, where a network may duplicate them, and a path that goes silent was never noticed.

Change: UpstreamPath holds a TCP connection and a UDP socket per upstream. PathController marks a path silent after 1,500 ms without an expected reply, replaces both, and repeats the last probe and idempotent requests only. Flow frames are answered through the fabric, so a UDP socket in use is checked with a probe of its own every 3 s. A request of which no byte was written is reported to the dispatcher as shed, one whose deadline passed before the write as expired. UdpPort reads and writes in batches. The upstream stand-in listens on TCP and UDP and can ignore all known senders after a while. TrafficWorker offers status().

--- a/src/node/trafficworker.cpp
+++ b/src/node/trafficworker.cpp
@@ -1,12 +1,15 @@
 #include "node/trafficworker.h"
 
+#include "core/control/pathcontroller.h"
 #include "node/udpport.h"
+#include "node/upstreampath.h"
 #include "wire/framecodec.h"
 
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <mutex>
 #include <thread>
+#include <unordered_map>
 #include <utility>
 
 namespace damaskhall {
@@ -14,6 +17,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickInterval{5};
+/// Copying the status costs a string per upstream.
+constexpr Milliseconds StatusInterval = 250_ms;
 
 } // namespace
 
@@ -23,10 +28,20 @@
         : options(trafficOptions)
         , clock(std::move(workerClock))
         , router(trafficOptions.self, trafficOptions.incarnation, hooks)
+        , pathController(pathHooks(hooks))
         , timer(context)
     {
     }
 
+    PathHooks pathHooks(const CoreHooks &hooks)
+    {
+        const auto isIdempotent = [this](ServiceId service, ClassId workClass) {
+            const auto *declared = view->declaration->findClass(service, workClass);
+            return declared && declared->idempotent;
+        };
+        return {isIdempotent, hooks.countRetry, hooks.random};
+    }
+
     void receive(std::string_view datagram, Endpoint from)
     {
         if (!isEncapsulated(datagram)) {
@@ -48,26 +63,99 @@
             router.handleUndecodable(frame.assume_error());
             return;
         }
-        router.handle(frame.assume_value(), from, clock.now(), actions);
-        perform();
+        route(frame.assume_value(), from);
+    }
+
+    void route(const Frame &frame, Endpoint from)
+    {
+        const Milliseconds now = clock.now();
+        router.handle(frame, from, now, actions);
+        perform(now);
+    }
+
+    void receiveOnPath(UpstreamId upstream, PathChannel channel, std::string_view message)
+    {
+        const auto path = paths.find(upstream);
+        const Result<Frame> frame = decodeFrame(message);
+        if (!frame || path == paths.end()) {
+            router.handleUndecodable({ErrorCode::Malformed, Step::DecodeFrame, "", ""});
+            return;
+        }
+        if (!pathController.noteReceived(upstream, channel, frame.assume_value())) {
+            route(frame.assume_value(), path->second->peer());
+            flush();
+        }
     }
 
-    void perform()
+    // Queues datagrams; flush() sends them.
+    void perform(Milliseconds decidedAt)
     {
         for (const Send &action : actions) {
-            port->send(encodeFrame(action.frame), action.to);
+            if (action.destination == Destination::Upstream) {
+                pathOf(action).send(action.frame, channelOf(action.frame), decidedAt);
+            } else {
+                port->queue(encodeFrame(action.frame), action.to);
+            }
         }
         actions.clear();
+        reportNotWritten();
     }
 
-    void tick()
+    UpstreamPath &pathOf(const Send &action)
+    {
+        auto &path = paths[action.upstream];
+        if (!path) {
+            path = std::make_unique<UpstreamPath>(context, clock, action.to,
+                                                  pathHandlers(action.upstream));
+        }
+        return *path;
+    }
+
+    UpstreamPath::Handlers pathHandlers(UpstreamId upstream)
+    {
+        UpstreamPath::Handlers handlers;
+        handlers.received = [this, upstream](PathChannel channel, std::string_view message) {
+            receiveOnPath(upstream, channel, message);
+        };
+        handlers.written = [this, upstream](const Frame &frame) {
+            pathController.noteSent(upstream, frame, clock.now());
+        };
+        handlers.notWritten = [this, upstream](const UpstreamRequest &request, ReplyStatus reply) {
+            notWritten.emplace_back(upstream, UpstreamReply{request.attempt, reply, 0, 1, {}});
+        };
+        return handlers;
+    }
+
+    // A request of which no byte was written has not run: the dispatcher learns it in the same way
+    // as from an upstream that refused it.
+    void reportNotWritten()
+    {
+        while (!notWritten.empty()) {
+            const auto [upstream, reply] = notWritten.front();
+            notWritten.erase(notWritten.begin());
+            const auto path = paths.find(upstream);
+            if (path != paths.end()) {
+                route(reply, path->second->peer());
+            }
+        }
+    }
+
+    void flush()
     {
-        router.tick(clock.now(), actions);
-        perform();
-        {
-            const std::lock_guard lock(loadMutex);
-            load = router.load();
+        port->flush();
+        for (auto &[upstream, path] : paths) {
+            path->flush();
         }
+    }
+
+    void tick()
+    {
+        const Milliseconds now = clock.now();
+        router.tick(now, actions);
+        perform(now);
+        tickPaths(now);
+        flush();
+        publishStatus(now);
         timer.expires_after(TickInterval);
         timer.async_wait([this](const std::error_code &error) {
             if (!error) {
@@ -76,16 +164,63 @@
         });
     }
 
+    void tickPaths(Milliseconds now)
+    {
+        std::vector<PathStep> steps;
+        pathController.tick(now, steps);
+        for (const PathStep &step : steps) {
+            const auto path = paths.find(step.upstream);
+            if (path == paths.end()) {
+                continue;
+            }
+            if (step.isSilent) {
+                path->second->replace();
+            }
+            for (const auto &[channel, frame] : step.frames) {
+                path->second->send(frame, channel, now);
+            }
+        }
+        for (auto &[upstream, path] : paths) {
+            path->tick();
+        }
+        reportNotWritten();
+    }
+
+    void publishStatus(Milliseconds now)
+    {
+        const std::lock_guard lock(statusMutex);
+        load = router.load();
+        if (now >= nextStatus) {
+            nextStatus = now + StatusInterval;
+            status = router.status();
+        }
+    }
+
+    void setView(std::shared_ptr<const RoutingView> newView)
+    {
+        view = std::move(newView);
+        router.setView(view);
+        std::erase_if(paths,
+                      [this](const auto &entry) { return !view->findUpstream(entry.first); });
+        pathController.retain([this](UpstreamId id) { return view->findUpstream(id) != nullptr; });
+    }
+
     TrafficOptions options;
     Clock clock;
     asio::io_context context{1};
+    std::shared_ptr<const RoutingView> view = std::make_shared<const RoutingView>();
     Router router;
+    PathController pathController;
     asio::steady_timer timer;
     std::unique_ptr<UdpPort> port;
+    std::unordered_map<UpstreamId, std::unique_ptr<UpstreamPath>> paths;
+    std::vector<std::pair<UpstreamId, UpstreamReply>> notWritten;
     Actions actions;
     std::thread thread;
-    mutable std::mutex loadMutex;
+    mutable std::mutex statusMutex;
     DispatcherLoad load;
+    TrafficStatus status;
+    Milliseconds nextStatus;
 };
 
 TrafficWorker::TrafficWorker(const TrafficOptions &options, const CoreHooks &hooks, Clock clock)
@@ -103,7 +238,8 @@
     const auto receiver = [d = m_d.get()](std::string_view datagram, Endpoint from) {
         d->receive(datagram, from);
     };
-    BOOST_OUTCOME_TRY(port, UdpPort::open(m_d->context, m_d->options.listen, receiver));
+    const auto batchEnd = [d = m_d.get()] { d->flush(); };
+    BOOST_OUTCOME_TRY(port, UdpPort::open(m_d->context, m_d->options.listen, receiver, batchEnd));
     m_d->port = std::move(port);
     m_d->thread = std::thread([d = m_d.get()] {
         d->tick();
@@ -114,23 +250,31 @@
 
 void TrafficWorker::publish(std::shared_ptr<const RoutingView> view)
 {
-    asio::post(m_d->context, [d = m_d.get(), view = std::move(view)] { d->router.setView(view); });
+    asio::post(m_d->context, [d = m_d.get(), view = std::move(view)] { d->setView(view); });
 }
 
 void TrafficWorker::beginLeaving()
 {
     asio::post(m_d->context, [d = m_d.get()] {
-        d->router.beginLeaving(d->clock.now(), d->actions);
-        d->perform();
+        const Milliseconds now = d->clock.now();
+        d->router.beginLeaving(now, d->actions);
+        d->perform(now);
+        d->flush();
     });
 }
 
 DispatcherLoad TrafficWorker::load() const
 {
-    const std::lock_guard lock(m_d->loadMutex);
+    const std::lock_guard lock(m_d->statusMutex);
     return m_d->load;
 }
 
+TrafficStatus TrafficWorker::status() const
+{
+    const std::lock_guard lock(m_d->statusMutex);
+    return m_d->status;
+}
+
 void TrafficWorker::stop()
 {
     m_d->context.stop();
--- a/src/node/trafficworker.h
+++ b/src/node/trafficworker.h
@@ -20,7 +20,9 @@
     Endpoint listen;
 };
 
-/// Traffic thread: owns the UDP sockets and the Router, and carries out the Router's actions.
+/// Traffic thread: owns the main UDP socket, the paths to upstreams and the Router, and carries out
+/// the Router's actions. The main socket is the source for callers and other balancers. Forwards
+/// and relays until stop(), also after beginLeaving().
 /// Thread safety: public methods may be called from any thread unless noted.
 class TrafficWorker
 {
@@ -44,6 +46,9 @@
     /// Returns what the dispatcher held at the last tick.
     DispatcherLoad load() const;
 
+    /// Returns the dispatcher's status as of at most a quarter of a second ago.
+    TrafficStatus status() const;
+
     /// Ends the thread and waits for it.
     void stop();
 
--- /dev/null
+++ b/src/node/upstreampath.cpp
@@ -0,0 +1,166 @@
+#include "node/upstreampath.h"
+
+#include "wire/framecodec.h"
+
+#include <utility>
+
+namespace damaskhall {
+
+namespace {
+
+/// Frames that may wait for a connection to be established.
+constexpr std::size_t MaxWaiting = 256;
+constexpr Milliseconds ConnectTimeout = 1_s;
+/// Pause before an upstream that refused a connection is tried again.
+constexpr Milliseconds ReconnectInterval = 200_ms;
+
+} // namespace
+
+UpstreamPath::UpstreamPath(asio::io_context &context, Clock clock, Endpoint peer, Handlers handlers)
+    : m_context(context)
+    , m_clock(std::move(clock))
+    , m_peer(peer)
+    , m_handlers(std::move(handlers))
+{
+}
+
+void UpstreamPath::send(const Frame &frame, PathChannel channel, Milliseconds decidedAt)
+{
+    if (channel == PathChannel::Stream) {
+        sendOnStream(frame, decidedAt);
+        return;
+    }
+    if (!m_datagrams) {
+        openDatagrams();
+    }
+    if (m_datagrams) {
+        m_datagrams->queue(encodeFrame(frame), m_peer);
+        m_handlers.written(frame);
+    }
+}
+
+void UpstreamPath::flush()
+{
+    if (m_datagrams) {
+        m_datagrams->flush();
+    }
+}
+
+void UpstreamPath::sendOnStream(const Frame &frame, Milliseconds decidedAt)
+{
+    if (m_isClosed) {
+        m_stream.reset();
+        m_isClosed = false;
+    }
+    if (!m_stream && m_clock.now() >= m_nextConnect) {
+        connect();
+    }
+    if (!m_stream || m_waiting.size() >= MaxWaiting) {
+        reportNotWritten(frame, ReplyStatus::Shed);
+    } else if (m_stream->isConnected() && m_waiting.empty()) {
+        write(frame, decidedAt);
+    } else {
+        m_waiting.push_back({frame, decidedAt});
+    }
+}
+
+void UpstreamPath::write(const Frame &frame, Milliseconds decidedAt)
+{
+    const auto *request = std::get_if<UpstreamRequest>(&frame);
+    if (!request) {
+        if (m_stream->send(encodeFrame(frame))) {
+            m_handlers.written(frame);
+        }
+        return;
+    }
+    // Checked here again: a process that was stopped since the decision must not send late work.
+    UpstreamRequest current = *request;
+    current.remaining = request->remaining - (m_clock.now() - decidedAt);
+    if (current.remaining <= 0_ms) {
+        reportNotWritten(frame, ReplyStatus::Expired);
+    } else if (m_stream->send(encodeFrame(current))) {
+        m_handlers.written(current);
+    } else {
+        reportNotWritten(frame, ReplyStatus::Shed);
+    }
+}
+
+void UpstreamPath::tick()
+{
+    if (m_isClosed) {
+        m_stream.reset();
+        m_isClosed = false;
+    }
+    if (m_waiting.empty()) {
+        return;
+    }
+    std::vector<Waiting> frames;
+    std::swap(frames, m_waiting);
+    if (m_stream && m_stream->isConnected()) {
+        for (const Waiting &entry : frames) {
+            write(entry.frame, entry.decidedAt);
+        }
+        return;
+    }
+    if (!m_stream || m_clock.now() - m_connectStarted >= ConnectTimeout) {
+        m_stream.reset();
+        giveUp(frames);
+        return;
+    }
+    std::swap(frames, m_waiting);
+}
+
+void UpstreamPath::replace()
+{
+    std::vector<Waiting> frames;
+    std::swap(frames, m_waiting);
+    giveUp(frames);
+    m_oldStream = std::move(m_stream);
+    m_oldDatagrams = std::move(m_datagrams);
+    m_isClosed = false;
+    m_nextConnect = m_clock.now();
+}
+
+void UpstreamPath::connect()
+{
+    m_connectStarted = m_clock.now();
+    m_nextConnect = m_connectStarted + ReconnectInterval;
+    const unsigned generation = ++m_generation;
+    FrameStream::Handlers handlers;
+    handlers.received = [this](std::string_view message) {
+        m_handlers.received(PathChannel::Stream, message);
+    };
+    handlers.closed = [this, generation] {
+        // Destroyed later: the stream is still on the call stack.
+        m_isClosed = m_isClosed || generation == m_generation;
+    };
+    m_stream = FrameStream::connect(m_context, m_peer, std::move(handlers));
+}
+
+void UpstreamPath::openDatagrams()
+{
+    const auto receiver = [this](std::string_view datagram, Endpoint) {
+        m_handlers.received(PathChannel::Datagram, datagram);
+    };
+    auto port = UdpPort::open(m_context, {}, receiver);
+    if (port) {
+        m_datagrams = std::move(port.assume_value());
+        m_datagrams->connect(m_peer);
+    }
+}
+
+void UpstreamPath::giveUp(std::vector<Waiting> &frames)
+{
+    for (const Waiting &entry : frames) {
+        reportNotWritten(entry.frame, ReplyStatus::Shed);
+    }
+}
+
+void UpstreamPath::reportNotWritten(const Frame &frame, ReplyStatus status)
+{
+    if (const auto *request = std::get_if<UpstreamRequest>(&frame)) {
+        m_handlers.notWritten(*request, status);
+    }
+}
+
+} // namespace damaskhall
--- a/standins/standin-upstream.cpp
+++ b/standins/standin-upstream.cpp
@@ -4,14 +4,12 @@
 #include "feedstore.h"
 #include "loadreport.h"
 #include "runlog.h"
-#include "silentpaths.h"
 #include "uploadstore.h"
+#include "upstreamport.h"
 
 #include "base/clock.h"
 #include "base/random.h"
-#include "node/udpport.h"
 #include "platform/platformclient.h"
-#include "wire/framecodec.h"
 
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -62,24 +60,14 @@
         , m_startedAt(m_clock.now())
         , m_log(runLog, options.service)
         , m_load(options.loadMode, options.slots)
-        , m_silentPaths(silentFrom())
+        , m_port(SilentPaths(silentFrom()),
+                 [this](const Frame &frame, const Origin &origin) { handle(frame, origin); })
         , m_feeds(options.pushInterval, [this](const Frame &frame) { toFabric(frame); })
         , m_uploads(m_log, [this](const Frame &frame) { toFabric(frame); })
     {
     }
 
-    Result<void> open(asio::io_context &context)
-    {
-        const auto receiver = [this](std::string_view datagram, Endpoint from) {
-            const auto frame = decodeFrame(datagram);
-            if (frame && !m_silentPaths.drops(from, m_clock.now())) {
-                handle(frame.assume_value(), from);
-            }
-        };
-        BOOST_OUTCOME_TRY(port, UdpPort::open(context, m_options.listen, receiver));
-        m_port = std::move(port);
-        return success();
-    }
+    Result<void> open(asio::io_context &context) { return m_port.open(context, m_options.listen); }
 
     void tick()
     {
@@ -103,7 +91,7 @@
 private:
     struct Run
     {
-        Endpoint owner;
+        Origin owner;
         std::string body;
         /// End of the run, then the next repetition of the reply.
         Milliseconds nextSend;
@@ -117,13 +105,12 @@
                                      : std::nullopt;
     }
 
-    void send(const Frame &frame, Endpoint to) { m_port->send(encodeFrame(frame), to); }
-    void toFabric(const Frame &frame) { send(frame, m_options.inner); }
+    void toFabric(const Frame &frame) { m_port.sendDatagram(frame, m_options.inner); }
 
-    void handle(const Frame &frame, Endpoint from)
+    void handle(const Frame &frame, const Origin &origin)
     {
         if (const auto *request = std::get_if<UpstreamRequest>(&frame)) {
-            handleRequest(*request, from);
+            handleRequest(*request, origin);
         } else if (const auto *ack = std::get_if<UpstreamReplyAck>(&frame)) {
             m_runs.erase(ack->attempt);
         } else if (const auto *keepalive = std::get_if<Forwarded<Keepalive>>(&frame)) {
@@ -135,18 +122,18 @@
             m_uploads.close(close->inner.token);
         } else if (const auto *probe = std::get_if<Probe>(&frame)) {
             const auto feeds = static_cast<std::uint32_t>(m_feeds.size());
-            send(ProbeReply{probe->nonce, m_options.id, serviceId(m_options.service), m_isLeaving,
-                            m_load.slotsInUse(), feeds},
-                 from);
+            m_port.reply(ProbeReply{probe->nonce, m_options.id, serviceId(m_options.service),
+                                    m_isLeaving, m_load.slotsInUse(), feeds},
+                         origin);
         }
     }
 
-    void handleRequest(const UpstreamRequest &request, Endpoint from)
+    void handleRequest(const UpstreamRequest &request, const Origin &origin)
     {
         const bool isFull = m_busy >= m_options.slots || randomUnit(m_random) < m_options.shedShare;
         if (m_isLeaving || isFull) {
             const ReplyStatus status = m_isLeaving ? ReplyStatus::Draining : ReplyStatus::Shed;
-            send(UpstreamReply{request.attempt, status, 0, 1, {}}, from);
+            m_port.reply(UpstreamReply{request.attempt, status, 0, 1, {}}, origin);
             return;
         }
         ++m_busy;
@@ -157,7 +144,7 @@
         const double serviceMs = -std::log(1.0 - randomUnit(m_random)) * mean;
         const Milliseconds end = now + Milliseconds{static_cast<std::int64_t>(serviceMs)};
         m_busyMs += serviceMs;
-        m_runs[request.attempt] = {from, request.body, end, false, 0};
+        m_runs[request.attempt] = {origin, request.body, end, false, 0};
     }
 
     void reply(AttemptId attempt, Run &run, Milliseconds now)
@@ -168,7 +155,7 @@
         }
         ++run.sends;
         run.nextSend = now + ReplyResendInterval;
-        send(UpstreamReply{attempt, ReplyStatus::Ok, 0, 1, "done " + run.body}, run.owner);
+        m_port.reply(UpstreamReply{attempt, ReplyStatus::Ok, 0, 1, "done " + run.body}, run.owner);
     }
 
     Options m_options;
@@ -176,13 +163,12 @@
     RandomSource m_random;
     Milliseconds m_startedAt;
     RunLogWriter m_log;
-    std::unique_ptr<UdpPort> m_port;
     unsigned m_busy = 0;
     double m_busyMs = 0;
     Milliseconds m_nextBusyLog;
     bool m_isLeaving = false;
     LoadReport m_load;
-    SilentPaths m_silentPaths;
+    UpstreamPort m_port;
     std::map<AttemptId, Run> m_runs;
     FeedStore m_feeds;
     UploadStore m_uploads;
--- /dev/null
+++ b/tests/core/control/pathcontroller_test.cpp
@@ -0,0 +1,122 @@
+#include "core/control/pathcontroller.h"
+
+#include <gtest/gtest.h>
+
+namespace damaskhall {
+namespace {
+
+constexpr UpstreamId Upstream{7};
+constexpr ClassId Idempotent{1};
+constexpr ClassId NotIdempotent{2};
+
+UpstreamRequest request(std::uint64_t attempt, ClassId workClass)
+{
+    return {AttemptId{attempt}, {}, workClass, {}, 10_s, "body"};
+}
+
+class PathControllerTest : public ::testing::Test
+{
+protected:
+    static PathHooks makeHooks(int &repeats)
+    {
+        return {[](ServiceId, ClassId workClass) { return workClass == Idempotent; },
+                [&repeats](RetryReason reason, ServiceId, ClassId) {
+                    repeats += reason == RetryReason::PathSilent;
+                },
+                seededRandom(1)};
+    }
+
+    /// Runs timers for @p duration and returns all steps.
+    std::vector<PathStep> runFor(Milliseconds duration)
+    {
+        std::vector<PathStep> steps;
+        for (const Milliseconds end = now + duration; now < end;) {
+            now += 10_ms;
+            controller.tick(now, steps);
+        }
+        return steps;
+    }
+
+    static int replacements(const std::vector<PathStep> &steps)
+    {
+        return static_cast<int>(std::count_if(steps.begin(), steps.end(),
+                                              [](const auto &step) { return step.isSilent; }));
+    }
+
+    Milliseconds now = 1_s;
+    int repeats = 0;
+    PathController controller{makeHooks(repeats)};
+};
+
+// Guards against a request that runs twice because its silent path is replaced.
+TEST_F(PathControllerTest, RepeatsProbesAndIdempotentRequestsOnly)
+{
+    controller.noteSent(Upstream, request(1, Idempotent), now);
+    controller.noteSent(Upstream, request(2, NotIdempotent), now);
+    controller.noteSent(Upstream, request(3, Idempotent), now);
+    controller.noteSent(Upstream, Probe{5}, now);
+    controller.noteReceived(Upstream, PathChannel::Stream,
+                            UpstreamReply{AttemptId{3}, ReplyStatus::Ok, 0, 1, {}});
+    controller.noteSent(Upstream, Probe{6}, now);
+    EXPECT_TRUE(runFor(1'490_ms).empty());
+    const auto steps = runFor(10_ms);
+    ASSERT_EQ(steps.size(), 1U);
+    EXPECT_TRUE(steps[0].isSilent);
+    ASSERT_EQ(steps[0].frames.size(), 2U);
+    EXPECT_EQ(std::get<Probe>(steps[0].frames[0].second).nonce, 6U);
+    const auto &repeated = std::get<UpstreamRequest>(steps[0].frames[1].second);
+    EXPECT_EQ(repeated.attempt, AttemptId{1});
+    EXPECT_EQ(repeated.remaining, 8'500_ms);
+    EXPECT_EQ(repeats, 2);
+}
+
+TEST_F(PathControllerTest, KeepsAPathOnWhichAnythingArrives)
+{
+    controller.noteSent(Upstream, request(1, NotIdempotent), now);
+    for (int i = 0; i < 5; ++i) {
+        controller.noteSent(Upstream, Probe{1}, now);
+        EXPECT_TRUE(runFor(1_s).empty());
+        controller.noteReceived(Upstream, PathChannel::Stream, ProbeReply{});
+    }
+}
+
+// Guards against a new connection every 1.5 s to each upstream that is gone.
+TEST_F(PathControllerTest, ReplacesThePathOfAnUnreachableUpstreamLessAndLessOften)
+{
+    int count = 0;
+    for (int second = 0; second < 60; ++second) {
+        controller.noteSent(Upstream, Probe{1}, now);
+        count += replacements(runFor(1_s));
+    }
+    EXPECT_GE(count, 4);
+    EXPECT_LE(count, 9);
+}
+
+TEST_F(PathControllerTest, ChecksADatagramChannelThatCarriesFlowFrames)
+{
+    const Forwarded<Keepalive> keepalive{};
+    controller.noteSent(Upstream, keepalive, now);
+
+    SCOPED_TRACE("an answered check ends and is repeated only after more flow frames");
+    auto steps = runFor(10_ms);
+    ASSERT_EQ(steps.size(), 1U);
+    const auto check = std::get<Probe>(steps[0].frames.at(0).second);
+    EXPECT_EQ(steps[0].frames[0].first, PathChannel::Datagram);
+    const ProbeReply reply{check.nonce, Upstream, {}, false, 0, 0};
+    EXPECT_TRUE(controller.noteReceived(Upstream, PathChannel::Datagram, reply));
+    EXPECT_TRUE(runFor(10_s).empty());
+
+    SCOPED_TRACE("an unanswered check replaces the path");
+    controller.noteSent(Upstream, keepalive, now);
+    EXPECT_EQ(replacements(runFor(1'600_ms)), 1);
+}
+
+TEST_F(PathControllerTest, ForgetsUpstreamsThatAreNotListedAnyMore)
+{
+    controller.noteSent(Upstream, Probe{1}, now);
+    controller.retain([](UpstreamId) { return false; });
+    EXPECT_TRUE(runFor(5_s).empty());
+}
+
+} // namespace
+} // namespace damaskhall
