Add faults to the fabric and platform stand-ins, and false refusals to the table

Cause: the fabric could only lose packets and the platform could only be down or lose a reply; the caller's table did not show requests that ran although they were refused.

The table has a column for falsely refused requests.

Result: they compile and the process tests use the new column; the new faults themselves were not exercised yet.

--- a/standins/callergroup.h
+++ b/standins/callergroup.h
@@ -86,6 +86,7 @@
         }
         for (const auto &[name, runs] : log.runs) {
             m_totals.doubled += runs > 1 && m_asked.count(name) > 0 ? 1 : 0;
+            m_totals.falselyRefused += m_refused.count(name) > 0 ? 1 : 0;
         }
     }
 
@@ -141,6 +142,7 @@
             ++m_totals.unknown;
         } else {
             ++m_totals.refused[*client.refusal()];
+            m_refused.insert(name);
         }
     }
 
@@ -167,8 +169,9 @@
     Lines<damaskhall::FeedClient> m_feeds;
     Lines<damaskhall::RequestClient> m_requests;
     Lines<damaskhall::UploadClient> m_uploads;
-    /// Names of all requests, and content hash of all answered work by name.
+    /// Names of all and of refused requests, and content hash of all answered work by name.
     std::set<std::string> m_asked;
+    std::set<std::string> m_refused;
     std::map<std::string, std::uint64_t> m_answered;
     ClassTotals m_totals;
 };
--- a/standins/standin-caller.cpp
+++ b/standins/standin-caller.cpp
@@ -73,8 +73,9 @@
     void printTable()
     {
         RunLog log(m_options.runLog, m_startedAt);
-        std::printf("%-28s %8s %8s %8s %8s %8s %8s %8s %8s %8s\n", "class", "asked", "answered",
-                    "refused", "unknown", "doubled", "lost", "opened", "broken", "alive");
+        std::printf("%-28s %8s %8s %8s %8s %8s %8s %8s %8s %8s %8s\n", "class", "asked", "answered",
+                    "refused", "unknown", "doubled", "lost", "falseref", "opened", "broken",
+                    "alive");
         for (CallerGroup &group : m_groups) {
             group.checkAgainst(log.service(group.workload().service));
             printRow(group);
@@ -101,10 +102,11 @@
     void printRow(const CallerGroup &group) const
     {
         const ClassTotals totals = group.totals();
-        const std::uint64_t columns[] = {
-                totals.asked,       totals.answered,    totals.refusedSum(),
-                totals.unknown,     totals.doubled,     totals.lost,
-                totals.flowsOpened, totals.flowsBroken, group.liveFeeds(m_clock.now())};
+        const std::uint64_t columns[] = {totals.asked,          totals.answered,
+                                         totals.refusedSum(),   totals.unknown,
+                                         totals.doubled,        totals.lost,
+                                         totals.falselyRefused, totals.flowsOpened,
+                                         totals.flowsBroken,    group.liveFeeds(m_clock.now())};
         std::printf("%-28s", group.workload().name().c_str());
         for (const std::uint64_t column : columns) {
             std::printf(" %8llu", number(column));
--- a/standins/standin-fabric.cpp
+++ b/standins/standin-fabric.cpp
@@ -9,6 +9,7 @@
 
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
 #include <atomic>
 #include <boost/program_options.hpp>
 #include <iostream>
@@ -23,11 +24,20 @@
 constexpr std::chrono::milliseconds ListInterval{200};
 constexpr Milliseconds PlatformTimeout = 1_s;
 
+/// Shares of packets, 0 to 1, and the largest extra delay of a packet, which reorders packets.
+struct Faults
+{
+    double loss = 0;
+    double duplication = 0;
+    Milliseconds jitter;
+};
+
 class Fabric
 {
 public:
-    explicit Fabric(double loss)
-        : m_loss(loss)
+    Fabric(asio::io_context &context, const Faults &faults)
+        : m_context(context)
+        , m_faults(faults)
         , m_random(seededRandom(std::random_device{}()))
     {
     }
@@ -49,14 +59,35 @@
 private:
     void forward(std::string_view datagram, Endpoint from)
     {
-        if (m_balancers.empty() || randomUnit(m_random) < m_loss) {
+        const int copies = randomUnit(m_random) < m_faults.duplication ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            if (m_balancers.empty() || randomUnit(m_random) < m_faults.loss) {
+                continue;
+            }
+            const Endpoint target = m_balancers[randomBelow(m_random, m_balancers.size())];
+            sendLater(encapsulate(from, datagram), target);
+        }
+    }
+
+    void sendLater(const std::string &packet, Endpoint target)
+    {
+        if (m_faults.jitter <= 0_ms) {
+            m_outer->send(packet, target);
             return;
         }
-        const Endpoint target = m_balancers[randomBelow(m_random, m_balancers.size())];
-        m_outer->send(encapsulate(from, datagram), target);
+        const auto bound = static_cast<std::uint64_t>(m_faults.jitter.value) + 1;
+        const auto delay = static_cast<std::int64_t>(randomBelow(m_random, bound));
+        const auto timer = std::make_shared<asio::steady_timer>(m_context);
+        timer->expires_after(std::chrono::milliseconds(delay));
+        timer->async_wait([this, timer, packet, target](const std::error_code &error) {
+            if (!error) {
+                m_outer->send(packet, target);
+            }
+        });
     }
 
-    double m_loss;
+    asio::io_context &m_context;
+    Faults m_faults;
     RandomSource m_random;
     std::vector<Endpoint> m_balancers;
     std::unique_ptr<UdpPort> m_outer;
@@ -83,7 +114,11 @@
     BOOST_OUTCOME_TRY(platform, parseEndpoint(values["platform"].as<std::string>()));
     const std::string dataCentre = values["data-centre"].as<std::string>();
     asio::io_context context{1};
-    Fabric fabric(values["loss"].as<double>());
+    Faults faults;
+    faults.loss = values["loss"].as<double>();
+    faults.duplication = values["duplication"].as<double>();
+    faults.jitter = Milliseconds{values["jitter-ms"].as<std::int64_t>()};
+    Fabric fabric(context, faults);
     BOOST_OUTCOME_TRYV(fabric.open(context, outer, inner));
 
     std::atomic<bool> isStopping = false;
@@ -120,6 +155,8 @@
             ("inner", po::value<std::string>()->required(), "address and port for upstreams")
             ("platform", po::value<std::string>()->required(), "address and port of the platform")
             ("data-centre", po::value<std::string>()->required(), "data centre to serve")
+            ("duplication", po::value<double>()->default_value(0), "share of packets to send twice")
+            ("jitter-ms", po::value<std::int64_t>()->default_value(0), "largest extra delay")
             ("loss", po::value<double>()->default_value(0), "share of packets to drop, 0 to 1");
         // clang-format on
         po::variables_map values;
--- a/standins/standin-platform.cpp
+++ b/standins/standin-platform.cpp
@@ -20,7 +20,7 @@
 using Traits = restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
 using Request = restinio::request_handle_t;
 
-/// An instance that has not refreshed its entry for this long is dropped from the list.
+/// An instance that does not refresh its entry for this long is dropped from the list.
 constexpr Milliseconds InstanceTtl = 3_s;
 constexpr std::chrono::milliseconds TickInterval{20};
 
@@ -28,6 +28,8 @@
 {
     std::string value;
     std::uint64_t version = 0;
+    /// Value before the latest write.
+    std::string older;
 };
 
 struct Watch
@@ -43,6 +45,17 @@
     Milliseconds downUntil;
     /// Writes that take effect but are not answered.
     int lostReplies = 0;
+    /// Until then, each call is answered this late.
+    Milliseconds slowUntil;
+    Milliseconds slowBy;
+    /// Until then, reads return the value before the latest one.
+    Milliseconds olderUntil;
+};
+
+struct Delayed
+{
+    Request request;
+    Milliseconds until;
 };
 
 class Platform
@@ -57,8 +70,7 @@
     {
         const auto query = restinio::parse_query(request->header().query());
         const std::string path(request->header().path());
-        const bool isWrite = request->header().method() == restinio::http_method_put();
-        ++(isWrite ? m_writes : m_reads);
+        ++(request->header().method() == restinio::http_method_put() ? m_writes : m_reads);
         if (path == "/fault") {
             return setFaults(request, query);
         }
@@ -69,19 +81,20 @@
         if (m_clock.now() < m_faults.downUntil) {
             return reply(request, restinio::status_service_unavailable(), "down");
         }
-        if (path == "/instances") {
-            return isWrite ? registerInstance(request) : listInstances(request);
-        }
-        if (path.rfind("/kv/", 0) != 0) {
-            return reply(request, restinio::status_not_found(), "unknown path");
+        if (m_clock.now() < m_faults.slowUntil) {
+            m_delayed.push_back({request, m_clock.now() + m_faults.slowBy});
+            return restinio::request_accepted();
         }
-        const std::string key = path.substr(4);
-        return isWrite ? write(request, key, query) : read(request, key, query);
+        return serve(request);
     }
 
     void tick()
     {
         const Milliseconds now = m_clock.now();
+        while (!m_delayed.empty() && m_delayed.front().until <= now) {
+            serve(m_delayed.front().request);
+            m_delayed.pop_front();
+        }
         for (auto it = m_watches.begin(); it != m_watches.end();) {
             const Value &value = m_values[it->key];
             if (value.version > it->after || now >= it->until) {
@@ -105,19 +118,35 @@
         Milliseconds seen;
     };
 
+    restinio::request_handling_status_t serve(const Request &request)
+    {
+        const auto query = restinio::parse_query(request->header().query());
+        const std::string path(request->header().path());
+        const bool isWrite = request->header().method() == restinio::http_method_put();
+        if (path == "/instances") {
+            return isWrite ? registerInstance(request) : listInstances(request);
+        }
+        if (path.rfind("/kv/", 0) != 0) {
+            return reply(request, restinio::status_not_found(), "unknown path");
+        }
+        const std::string key = path.substr(4);
+        return isWrite ? write(request, key, query) : read(request, key, query);
+    }
+
     static restinio::request_handling_status_t
     reply(const Request &request, restinio::http_status_line_t status, std::string body)
     {
         return request->create_response(std::move(status)).set_body(std::move(body)).done();
     }
 
-    static restinio::request_handling_status_t replyValue(const Request &request,
-                                                          const Value &value)
+    restinio::request_handling_status_t replyValue(const Request &request, const Value &value) const
     {
         if (value.version == 0) {
             return reply(request, restinio::status_not_found(), "no such key");
         }
-        const Json json = {{"value", value.value}, {"version", value.version}};
+        const bool isOlder = m_clock.now() < m_faults.olderUntil && value.version > 1;
+        const Json json = {{"value", isOlder ? value.older : value.value},
+                           {"version", isOlder ? value.version - 1 : value.version}};
         return reply(request, restinio::status_ok(), json.dump());
     }
 
@@ -128,7 +157,11 @@
 
     restinio::request_handling_status_t setFaults(const Request &request, const Query &query)
     {
-        m_faults.downUntil = m_clock.now() + Milliseconds{number(query, "down_ms")};
+        const Milliseconds now = m_clock.now();
+        m_faults.downUntil = now + Milliseconds{number(query, "down_ms")};
+        m_faults.slowBy = Milliseconds{number(query, "slow_by_ms")};
+        m_faults.slowUntil = now + Milliseconds{number(query, "slow_ms")};
+        m_faults.olderUntil = now + Milliseconds{number(query, "older_ms")};
         m_faults.lostReplies = static_cast<int>(number(query, "lose_replies"));
         return reply(request, restinio::status_ok(), "{}");
     }
@@ -153,7 +186,7 @@
             return reply(request, restinio::status_conflict(),
                          "version is " + std::to_string(value.version));
         }
-        value = {request->body(), value.version + 1};
+        value = {request->body(), value.version + 1, std::move(value.value)};
         if (m_faults.lostReplies > 0) {
             --m_faults.lostReplies;
             // The request is kept unanswered, so that the client times out.
@@ -201,6 +234,7 @@
     Json m_list = Json::array();
     std::list<Watch> m_watches;
     std::list<Request> m_unanswered;
+    std::list<Delayed> m_delayed;
     Faults m_faults;
     std::uint64_t m_reads = 0;
     std::uint64_t m_writes = 0;
--- a/standins/workload.h
+++ b/standins/workload.h
@@ -59,6 +59,8 @@
     std::uint64_t doubled = 0;
     /// Work without any outcome at the end, and work that was answered and did not take place.
     std::uint64_t lost = 0;
+    /// Requests that ran although they were refused.
+    std::uint64_t falselyRefused = 0;
     std::uint64_t flowsOpened = 0;
     std::uint64_t flowsBroken = 0;
 
