Test real processes under faults

Cause: kills, stops, rolling replacement, drains and platform outages were tested in virtual time only.

Change: damaskhall-process-tests starts platform, fabric, balancers, upstreams and callers on a free block of ports below the ephemeral range, and reads the caller's table.

--- /dev/null
+++ b/tests/processes/fleet.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "processes/process.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace damaskhall::processes {
+
+/// Row of the caller's final table.
+struct TableRow
+{
+    std::uint64_t asked = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t doubled = 0;
+    std::uint64_t lost = 0;
+    std::uint64_t falselyRefused = 0;
+    std::uint64_t opened = 0;
+    std::uint64_t broken = 0;
+    std::uint64_t alive = 0;
+};
+
+/// One data centre of real processes on loopback, with ports of its own.
+class Fleet
+{
+public:
+    Fleet();
+
+    /// Starts platform, fabric, @p balancers, four upstreams of the workshop board with speeds of
+    /// 4 to 1 and two of the pattern desk. Returns false if they do not serve in time.
+    bool start(int balancers);
+
+    /// Starts a balancer under a new id and waits until it serves. Returns its id, or 0 if it does
+    /// not serve in time.
+    int addBalancer();
+    Process &balancer(int id) { return m_balancers.at(id); }
+    Process &upstream(int id) { return m_upstreams.at(id); }
+    Process &platform() { return *m_platform; }
+
+    /// Starts callers that hold 20 feeds and offer 40 claims and 2 uploads a second.
+    void startCallers(int seconds);
+    /// Waits for the callers and returns their table by class.
+    std::map<std::string, TableRow> finishCallers();
+
+    /// Returns all output of the processes, for failure messages.
+    std::string output() const;
+
+private:
+    void startBalancer(int id);
+    void startUpstream(int id, const std::string &service, int serviceMs);
+    bool writeDeclaration();
+    bool servesThrough(int balancer) const;
+    std::string address(int offset) const;
+    std::string file(const std::string &name) const { return m_folder + "/" + name; }
+
+    std::string m_folder;
+    std::uint16_t m_basePort;
+    std::unique_ptr<Process> m_platform;
+    std::unique_ptr<Process> m_fabric;
+    std::unique_ptr<Process> m_callers;
+    std::map<int, Process> m_balancers;
+    std::map<int, Process> m_upstreams;
+    int m_callSeconds = 0;
+};
+
+} // namespace damaskhall::processes
