--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -3,17 +3,50 @@
 #include "core/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace damaskhall {
 
 namespace {
 
-constexpr int InitialLimit = 2;
-/// A permit that has not been used by then is void; the caller answers within a round trip.
-constexpr Milliseconds PermitLifetime = 2_s;
-/// Records outlive their permit, so that a late Execute never finds a valid permit and no record.
-constexpr Milliseconds RecordRetention = 30_s;
+constexpr std::size_t MaxRecords = 65'536;
+/// Callers repeat a Reserve every 200 ms, so a lost Permit is repeated several times before.
+constexpr Milliseconds PermitLifetime = 1_s;
+/// A permit whose Execute takes this many round trips counts no longer: it or its caller is lost.
+constexpr std::int64_t OverdueRoundTrips = 3;
+constexpr Milliseconds MinOverdueTime = 20_ms;
+/// Finished records outlive their permit, so that a repeated Execute finds them.
+constexpr Milliseconds Retention = 1_s;
+/// Bounds the memory for callers that claim very long deadlines.
+constexpr Milliseconds MaxRetention = 30_s;
+constexpr Milliseconds MaxRemaining = 3600_s;
+/// A caller cannot gain more priority over other classes by claiming a longer wait.
+constexpr Milliseconds MaxWaited = 60_s;
+/// Chunks do not pass the owner, so the slot is freed this long after the last Reserve or token.
+constexpr Milliseconds UploadSlotLifetime = 30_s;
+constexpr std::size_t MaxAnswerFragments = 1'024;
+constexpr std::size_t MaxRefusedPermits = 8;
+/// Exceeded by less than 2% of exponentially distributed service times.
+constexpr std::int64_t ServiceTimeMargin = 4;
+constexpr Milliseconds MinAttemptTimeout = 1'500_ms;
+constexpr std::int64_t AttemptTimeoutFactor = 8;
+constexpr std::uint32_t MaxTries = 4;
+constexpr Milliseconds FirstRetryDelay = 5_ms;
+constexpr Milliseconds MinRetryAfter = 50_ms;
+constexpr Milliseconds MaxRetryAfter = 2_s;
+constexpr Milliseconds ProbeRound = 50_ms;
+
+SlotUse slotOf(const RequestRecord &record)
+{
+    return {record.upstream, record.upstreamEndpoint, record.inFlightAtSend};
+}
+
+QueueEntry queueEntry(const RequestRecord &record)
+{
+    return {record.id(), record.reservation.workClass, record.reservation.house, record.arrival,
+            record.target};
+}
 
 } // namespace
 
@@ -22,20 +55,31 @@
     , m_incarnation(incarnation)
     , m_hooks(std::move(hooks))
     , m_view(std::make_shared<const RoutingView>())
+    , m_table(MaxRecords)
 {
 }
 
 void Dispatcher::setView(std::shared_ptr<const RoutingView> view)
 {
     m_view = std::move(view);
+    m_isViewNew = true;
 }
 
-void Dispatcher::open(const Open &frame, Endpoint caller, Milliseconds, Actions &actions)
+void Dispatcher::open(const Open &frame, Endpoint caller, Milliseconds now, Actions &actions)
 {
-    const auto upstream = leastLoaded(frame.service);
+    refresh(now, actions);
+    const auto refuseOpen = [&](RefusalReason reason) {
+        m_hooks.countRefusal(reason, frame.service, frame.workClass);
+        const Refusal refusal{frame.flow.value, reason, jittered(MinRetryAfter * 2), {}};
+        actions.push_back({Destination::Caller, caller, {}, refusal});
+    };
+    if (m_isLeaving) {
+        refuseOpen(RefusalReason::Leaving);
+        return;
+    }
+    const auto upstream = shardFor(frame.service, frame.flow.value).selector().takeFeed(now);
     if (!upstream) {
-        refuse(frame.flow.value, caller, RefusalReason::NoUpstream, frame.service, frame.workClass,
-               actions);
+        refuseOpen(RefusalReason::NoUpstream);
         return;
     }
     Token token;
@@ -43,238 +87,867 @@
     token.service = frame.service;
     token.workClass = frame.workClass;
     token.house = frame.house;
-    token.upstream = upstream->id;
+    token.upstream = *upstream;
     token.owner = m_self;
     token.ownerIncarnation = m_incarnation;
     token.subject = frame.flow.value;
     const OpenReply reply{frame.flow.value, m_hooks.sealToken(token)};
     actions.push_back({Destination::Caller, caller, {}, reply});
+    m_hooks.countEvent(CoreEvent::FlowOpened, frame.service, frame.workClass);
 }
 
 void Dispatcher::reserve(const Reserve &frame, Endpoint caller, Milliseconds now, Actions &actions)
 {
-    const auto found = m_records.find(frame.request);
-    if (found != m_records.end()) {
-        Record &record = found->second;
-        record.caller = caller;
-        if (record.phase == Phase::Permitted) {
-            const Permit permit{frame.request, record.permit};
-            actions.push_back({Destination::Caller, caller, {}, permit});
-        } else if (record.phase == Phase::Done) {
-            sendAnswer(record, actions);
-        }
+    refresh(now, actions);
+    RequestRecord *record = m_table.find(frame.request);
+    const bool isNew = !record;
+    if (isNew && !m_isLeaving) {
+        record = m_table.insert(frame);
+    }
+    if (!record) {
+        const auto reason = m_isLeaving ? RefusalReason::Leaving : RefusalReason::QueueFull;
+        m_hooks.countRefusal(reason, frame.service, frame.workClass);
+        const Refusal refusal{frame.request.value, reason, jittered(MinRetryAfter * 2), {}};
+        actions.push_back({Destination::Caller, caller, {}, refusal});
+        return;
+    }
+    record->caller = caller;
+    const bool isAgain = record->phase == RecordPhase::Refused &&
+                         record->refusal != RefusalReason::Cancelled && !m_isLeaving;
+    if (!isNew && !isAgain) {
+        repeatReply(*record, now, actions);
         return;
     }
-    Record record;
+    enqueue(*record, frame, now, actions);
+}
+
+void Dispatcher::enqueue(RequestRecord &record, const Reserve &frame, Milliseconds now,
+                         Actions &actions)
+{
+    Shard &shard = shardFor(frame.service, frame.request.value);
+    const auto *declared = m_view->declaration->findClass(frame.service, frame.workClass);
+    const Milliseconds remaining = std::min(frame.remaining, MaxRemaining);
+    if (!record.permit.empty()) {
+        record.refusedPermits.push_back(std::exchange(record.permit, {}));
+        if (record.refusedPermits.size() > MaxRefusedPermits) {
+            record.refusedPermits.erase(record.refusedPermits.begin());
+        }
+    }
     record.reservation = frame;
-    record.caller = caller;
-    record.deadline = now + frame.remaining;
-    record.keepUntil = record.deadline + RecordRetention;
-    m_records.emplace(frame.request, std::move(record));
-    m_waiting.push_back(frame.request);
-    admitWaiting(now, actions);
-}
-
-void Dispatcher::admitWaiting(Milliseconds now, Actions &actions)
-{
-    std::deque<RequestId> blocked;
-    while (!m_waiting.empty()) {
-        const RequestId request = m_waiting.front();
-        m_waiting.pop_front();
-        const auto found = m_records.find(request);
-        if (found == m_records.end()) {
+    record.shard = shard.key();
+    record.arrival = now - std::clamp(frame.waited, 0_ms, MaxWaited);
+    record.target = declared ? declared->target : remaining;
+    record.isIdempotent = declared && declared->idempotent;
+    record.deadline = now + remaining;
+    record.tries = 0;
+    record.mayHaveRun = false;
+    record.notBefore = now;
+    m_table.setPhase(record, RecordPhase::Waiting);
+    Milliseconds retryAfter = MinRetryAfter * 2;
+    if (const auto reason = refusalOf(record, now, retryAfter)) {
+        refuse(record, *reason, retryAfter, now, actions);
+        return;
+    }
+    m_table.wakeAt(record, record.deadline);
+    if (const auto evicted = shard.queue().push(queueEntry(record))) {
+        RequestRecord *other = m_table.find(*evicted);
+        refuse(*other, RefusalReason::QueueFull, jittered(MaxRetryAfter), now, actions);
+    }
+    dispatch(shard, now, actions);
+}
+
+std::optional<RefusalReason> Dispatcher::refusalOf(const RequestRecord &record, Milliseconds now,
+                                                   Milliseconds &retryAfter)
+{
+    const Shard &shard = shardAt(record.shard);
+    const auto wait = shard.expectedWait(queueEntry(record), now);
+    if (!wait || *wait == 0_ms) {
+        return std::nullopt;
+    }
+    retryAfter = jittered(std::clamp(*wait / 2, MinRetryAfter, MaxRetryAfter));
+    const Milliseconds needed = *wait + shard.selector().meanLatency() * ServiceTimeMargin;
+    if (needed > record.deadline - now) {
+        return RefusalReason::DeadlineUnreachable;
+    }
+    // A queue longer than the target would make every later request of the class miss it.
+    return *wait > record.target ? std::optional(RefusalReason::QueueFull) : std::nullopt;
+}
+
+void Dispatcher::repeatReply(RequestRecord &record, Milliseconds now, Actions &actions)
+{
+    switch (record.phase) {
+    case RecordPhase::Permitted: {
+        const Permit permit{record.id(), record.permit};
+        actions.push_back({Destination::Caller, record.caller, {}, permit});
+        break;
+    }
+    case RecordPhase::Uploading: {
+        m_table.wakeAt(record, now + UploadSlotLifetime);
+        const OpenReply reply{record.id().value, record.permit};
+        actions.push_back({Destination::Caller, record.caller, {}, reply});
+        break;
+    }
+    case RecordPhase::Answered:
+    case RecordPhase::Unknown:
+        sendAnswer(record, actions);
+        break;
+    case RecordPhase::Refused: {
+        const Refusal refusal{record.id().value, record.refusal, MinRetryAfter * 2, {}};
+        actions.push_back({Destination::Caller, record.caller, {}, refusal});
+        break;
+    }
+    case RecordPhase::Waiting:
+    case RecordPhase::Held:
+    case RecordPhase::Sent:
+        break;
+    }
+}
+
+void Dispatcher::dispatch(Shard &shard, Milliseconds now, Actions &actions)
+{
+    sendHeld(shard, now, actions);
+    if (!m_isLeaving) {
+        issuePermits(shard, now, actions);
+    }
+}
+
+void Dispatcher::sendHeld(Shard &shard, Milliseconds now, Actions &actions)
+{
+    auto &held = shard.held();
+    for (auto it = held.begin(); it != held.end();) {
+        RequestRecord &record = *m_table.find(*it);
+        if (record.notBefore > now) {
+            ++it;
             continue;
         }
-        Record &record = found->second;
-        const auto upstream = leastLoaded(record.reservation.service);
-        if (!upstream || m_inUse[upstream->id] >= InitialLimit) {
-            blocked.push_back(request);
+        // The deadline is checked at the transmission itself: a process that was frozen may get
+        // here long after its timers were due.
+        if (record.deadline <= now) {
+            it = held.erase(it);
+            refuse(record, RefusalReason::DeadlinePassed, MinRetryAfter, now, actions);
             continue;
         }
-        record.upstream = upstream->id;
-        ++m_inUse[upstream->id];
-        issuePermit(record, now, actions);
+        const auto slot = shard.selector().take(now);
+        if (!slot) {
+            return;
+        }
+        it = held.erase(it);
+        send(record, *slot, now, actions);
     }
-    m_waiting = std::move(blocked);
 }
 
-void Dispatcher::issuePermit(Record &record, Milliseconds now, Actions &actions)
+void Dispatcher::issuePermits(Shard &shard, Milliseconds now, Actions &actions)
 {
-    Token token;
-    token.kind = TokenKind::Permit;
-    token.service = record.reservation.service;
-    token.workClass = record.reservation.workClass;
-    token.house = record.reservation.house;
-    token.owner = m_self;
-    token.ownerIncarnation = m_incarnation;
-    token.subject = record.reservation.request.value;
-    token.expiry = now + PermitLifetime;
-    record.permit = m_hooks.sealToken(token);
-    record.phase = Phase::Permitted;
-    const Permit permit{record.reservation.request, record.permit};
+    while (shard.mayPermit(now)) {
+        const auto next = shard.queue().front();
+        if (!next) {
+            return;
+        }
+        RequestRecord &record = *m_table.find(*next);
+        const auto *declared = m_view->declaration->findClass(record.reservation.service,
+                                                              record.reservation.workClass);
+        const bool isUpload = declared && declared->kind == WorkKind::Upload;
+        if (isUpload && !shard.mayStartUpload(now)) {
+            return;
+        }
+        shard.queue().pop();
+        if (record.deadline <= now) {
+            refuse(record, RefusalReason::DeadlinePassed, MinRetryAfter, now, actions);
+            continue;
+        }
+        m_hooks.observe(CoreSample::QueueWait, record.reservation.service,
+                        record.reservation.workClass, now - record.arrival);
+        if (isUpload) {
+            startUpload(shard, record, now, actions);
+        } else {
+            issuePermit(shard, record, now, actions);
+        }
+    }
+}
+
+void Dispatcher::issuePermit(Shard &shard, RequestRecord &record, Milliseconds now,
+                             Actions &actions)
+{
+    // Each permit of a request differs, so that a refusal of one says nothing about the others.
+    const Milliseconds expiry = std::max(now + PermitLifetime, record.permitExpiry + 1_ms);
+    record.permit = sealToken(record, TokenKind::Permit, expiry);
+    record.permitIssued = now;
+    record.permitExpiry = expiry;
+    m_table.setPhase(record, RecordPhase::Permitted);
+    shard.permitIssued();
+    record.isPermitCounted = true;
+    const Milliseconds overdue =
+            std::max(shard.permitRoundTrip() * OverdueRoundTrips, MinOverdueTime);
+    m_table.wakeAt(record, std::min(now + overdue, expiry));
+    const Permit permit{record.id(), record.permit};
     actions.push_back({Destination::Caller, record.caller, {}, permit});
 }
 
-void Dispatcher::execute(const Execute &frame, const Token &, Endpoint caller, Milliseconds now,
-                         Actions &actions)
+void Dispatcher::startUpload(Shard &shard, RequestRecord &record, Milliseconds now,
+                             Actions &actions)
 {
-    const auto found = m_records.find(frame.request);
-    if (found == m_records.end()) {
-        m_hooks.countRefusal(RefusalReason::NoRecord, {}, {});
-        const Answer answer{frame.request, Outcome::Unknown, 0, 1, {}};
-        actions.push_back({Destination::Caller, caller, {}, answer});
+    const auto slot = shard.selector().take(now);
+    record.upstream = slot->upstream;
+    record.upstreamEndpoint = slot->endpoint;
+    record.inFlightAtSend = slot->inFlight;
+    record.sentAt = now;
+    record.permit = sealToken(record, TokenKind::Upload, 0_ms);
+    m_table.setPhase(record, RecordPhase::Uploading);
+    m_table.wakeAt(record, now + UploadSlotLifetime);
+    shard.retryBudget().onRequestTaken();
+    m_hooks.countEvent(CoreEvent::RequestTaken, record.reservation.service,
+                       record.reservation.workClass);
+    const OpenReply reply{record.id().value, record.permit};
+    actions.push_back({Destination::Caller, record.caller, {}, reply});
+}
+
+void Dispatcher::execute(const Execute &frame, const Token &permit, Endpoint caller,
+                         Milliseconds now, Actions &actions)
+{
+    refresh(now, actions);
+    RequestRecord *record = m_table.find(frame.request);
+    const bool isCurrent = record && record->permit == frame.permit;
+    const bool isRefused =
+            record && std::find(record->refusedPermits.begin(), record->refusedPermits.end(),
+                                frame.permit) != record->refusedPermits.end();
+    if (isRefused) {
+        m_hooks.countRefusal(RefusalReason::ExpiredToken, permit.service, permit.workClass);
+        const Refusal refusal{frame.request.value, RefusalReason::ExpiredToken, MinRetryAfter,
+                              frame.permit};
+        actions.push_back({Destination::Caller, caller, {}, refusal});
         return;
     }
-    Record &record = found->second;
-    record.caller = caller;
-    if (record.phase == Phase::Permitted) {
-        send(record, frame, now, actions);
-    } else if (record.phase == Phase::Done) {
-        sendAnswer(record, actions);
+    if (!isCurrent) {
+        m_hooks.countRefusal(RefusalReason::NoRecord, permit.service, permit.workClass);
+        sendUnknown(frame.request, caller, actions);
+        return;
+    }
+    record->caller = caller;
+    if (record->phase == RecordPhase::Answered || record->phase == RecordPhase::Unknown) {
+        sendAnswer(*record, actions);
+        return;
+    }
+    if (record->phase == RecordPhase::Refused) {
+        sendRefusal(*record, MinRetryAfter, actions);
+        return;
     }
+    if (record->phase != RecordPhase::Permitted) {
+        return;
+    }
+    if (record->permitExpiry <= now) {
+        refuse(*record, RefusalReason::ExpiredToken, MinRetryAfter, now, actions);
+        return;
+    }
+    if (frame.remaining <= 0_ms) {
+        refuse(*record, RefusalReason::DeadlinePassed, MinRetryAfter, now, actions);
+        return;
+    }
+    Shard &shard = shardAt(record->shard);
+    hold(shard, *record, frame, now);
+    dispatch(shard, now, actions);
 }
 
-void Dispatcher::send(Record &record, const Execute &frame, Milliseconds now, Actions &actions)
+void Dispatcher::hold(Shard &shard, RequestRecord &record, const Execute &frame, Milliseconds now)
 {
-    const UpstreamView *upstream = m_view->findUpstream(record.upstream);
-    if (!upstream) {
-        refuse(frame.request.value, record.caller, RefusalReason::NoUpstream,
-               record.reservation.service, record.reservation.workClass, actions);
-        m_records.erase(frame.request);
-        return;
+    shard.observePermitRoundTrip(now - record.permitIssued);
+    leavePhase(record, now);
+    record.body = frame.body;
+    record.deadline = std::min(record.deadline, now + std::min(frame.remaining, MaxRemaining));
+    m_table.setPhase(record, RecordPhase::Held);
+    m_table.wakeAt(record, record.deadline);
+    shard.held().push_back(record.id());
+    shard.retryBudget().onRequestTaken();
+    m_hooks.countEvent(CoreEvent::RequestTaken, record.reservation.service,
+                       record.reservation.workClass);
+}
+
+void Dispatcher::send(RequestRecord &record, const SlotUse &slot, Milliseconds now,
+                      Actions &actions)
+{
+    record.upstream = slot.upstream;
+    record.upstreamEndpoint = slot.endpoint;
+    record.inFlightAtSend = slot.inFlight;
+    record.sentAt = now;
+    ++record.tries;
+    m_table.setPhase(record, RecordPhase::Sent);
+    m_table.setAttempt(record, AttemptId{m_hooks.random()});
+    Milliseconds wakeTime = record.deadline;
+    if (record.isIdempotent) {
+        const Milliseconds usual = shardAt(record.shard).selector().meanLatency();
+        wakeTime =
+                std::min(wakeTime, now + std::max(usual * AttemptTimeoutFactor, MinAttemptTimeout));
     }
-    record.phase = Phase::Sent;
-    record.attempt = AttemptId{m_hooks.random()};
-    m_attempts[record.attempt] = frame.request;
+    m_table.wakeAt(record, wakeTime);
     UpstreamRequest request;
     request.attempt = record.attempt;
     request.service = record.reservation.service;
     request.workClass = record.reservation.workClass;
     request.house = record.reservation.house;
     request.remaining = record.deadline - now;
-    request.body = frame.body;
-    actions.push_back({Destination::Upstream, upstream->endpoint, upstream->id, request});
+    request.body = record.body;
+    actions.push_back({Destination::Upstream, slot.endpoint, slot.upstream, std::move(request)});
 }
 
-void Dispatcher::cancel(const Cancel &, Endpoint, Milliseconds, Actions &) {}
-
-void Dispatcher::acknowledge(const AnswerAck &, Milliseconds) {}
-
-void Dispatcher::finishUpload(const Token &, Milliseconds, Actions &) {}
-
 void Dispatcher::handleReply(const UpstreamReply &frame, Endpoint from, Milliseconds now,
                              Actions &actions)
 {
-    const auto attempt = m_attempts.find(frame.attempt);
-    if (attempt == m_attempts.end()) {
+    refresh(now, actions);
+    RequestRecord *record = m_table.findAttempt(frame.attempt);
+    if (!record || record->phase != RecordPhase::Sent) {
+        dropLateReply(frame, from, actions);
         return;
     }
-    Record &record = m_records.at(attempt->second);
-    if (record.fragments.empty()) {
-        record.fragments.resize(frame.fragmentCount);
+    const ServiceId service = record->reservation.service;
+    const ClassId workClass = record->reservation.workClass;
+    if (record->upstreamEndpoint != from) {
+        m_hooks.countRefusal(RefusalReason::Malformed, service, workClass);
+        return;
     }
-    if (frame.fragment >= record.fragments.size()) {
+    if (frame.fragmentCount > MaxAnswerFragments) {
+        m_hooks.countRefusal(RefusalReason::Oversized, service, workClass);
         return;
     }
-    record.fragments[frame.fragment] = frame.body;
-    const bool isComplete = std::all_of(record.fragments.begin(), record.fragments.end(),
+    if (record->fragments.empty()) {
+        record->fragments.resize(frame.fragmentCount);
+    }
+    if (frame.fragment >= frame.fragmentCount || record->fragments.size() != frame.fragmentCount) {
+        m_hooks.countRefusal(RefusalReason::Malformed, service, workClass);
+        return;
+    }
+    shardAt(record->shard).selector().noteHeard(record->upstream);
+    record->fragments[frame.fragment] = frame.body;
+    const bool isComplete = std::all_of(record->fragments.begin(), record->fragments.end(),
                                         [](const auto &fragment) { return fragment.has_value(); });
     if (!isComplete) {
         return;
     }
     const UpstreamReplyAck acknowledgement{frame.attempt};
-    actions.push_back({Destination::Upstream, from, record.upstream, acknowledgement});
-    if (record.phase == Phase::Sent) {
-        finish(record, Outcome::Done, now, actions);
-        admitWaiting(now, actions);
+    actions.push_back({Destination::Upstream, from, record->upstream, acknowledgement});
+    const ShardKey shard = record->shard;
+    completeReply(*record, frame.status, now, actions);
+    dispatch(shardAt(shard), now, actions);
+}
+
+void Dispatcher::completeReply(RequestRecord &record, ReplyStatus status, Milliseconds now,
+                               Actions &actions)
+{
+    switch (status) {
+    case ReplyStatus::Ok:
+        releaseSlot(record, SlotResult::Answered, now);
+        answer(record, now, actions);
+        break;
+    case ReplyStatus::Shed:
+        releaseSlot(record, SlotResult::Shed, now);
+        retry(record, RetryReason::UpstreamShed, now, actions);
+        break;
+    case ReplyStatus::Draining:
+        markLeaving(record.upstream);
+        releaseSlot(record, SlotResult::Neutral, now);
+        retry(record, RetryReason::UpstreamDraining, now, actions);
+        break;
+    case ReplyStatus::Cancelled:
+        releaseSlot(record, SlotResult::Neutral, now);
+        refuse(record, RefusalReason::Cancelled, MinRetryAfter, now, actions);
+        break;
+    case ReplyStatus::Expired:
+        releaseSlot(record, SlotResult::Neutral, now);
+        refuse(record, RefusalReason::DeadlinePassed, MinRetryAfter, now, actions);
+        break;
+    }
+}
+
+void Dispatcher::retry(RequestRecord &record, RetryReason reason, Milliseconds now,
+                       Actions &actions)
+{
+    m_table.clearAttempt(record);
+    Shard &shard = shardAt(record.shard);
+    if (record.tries >= MaxTries || !shard.retryBudget().take()) {
+        refuse(record, RefusalReason::UpstreamShed, jittered(MinRetryAfter * 2), now, actions);
+        return;
+    }
+    m_hooks.countRetry(reason, record.reservation.service, record.reservation.workClass);
+    // The first retry goes to another upstream at once; further ones back off.
+    const std::int64_t factor = record.tries < 2 ? 0 : 1LL << record.tries;
+    record.notBefore = now + (factor == 0 ? 0_ms : jittered(FirstRetryDelay * factor));
+    m_table.setPhase(record, RecordPhase::Held);
+    m_table.wakeAt(record, record.deadline);
+    shard.held().push_front(record.id());
+}
+
+void Dispatcher::dropLateReply(const UpstreamReply &frame, Endpoint from, Actions &actions)
+{
+    m_hooks.countEvent(CoreEvent::LateReplyDropped, {}, {});
+    // Acknowledged, so that the upstream stops repeating it.
+    const auto &upstreams = m_view->upstreams;
+    const auto sender = std::find_if(upstreams.begin(), upstreams.end(), [from](const auto &item) {
+        return item.second.endpoint == from;
+    });
+    if (sender != upstreams.end()) {
+        const UpstreamReplyAck acknowledgement{frame.attempt};
+        actions.push_back({Destination::Upstream, from, sender->first, acknowledgement});
     }
 }
 
-void Dispatcher::finish(Record &record, Outcome outcome, Milliseconds now, Actions &actions)
+void Dispatcher::cancel(const Cancel &frame, Endpoint caller, Milliseconds now, Actions &actions)
 {
-    record.phase = Phase::Done;
-    record.outcome = outcome;
-    record.keepUntil = now + RecordRetention;
-    --m_inUse[record.upstream];
+    refresh(now, actions);
+    RequestRecord *record = m_table.find(frame.request);
+    if (!record) {
+        return;
+    }
+    const bool hasNoExecute =
+            record->phase == RecordPhase::Waiting || record->phase == RecordPhase::Permitted;
+    const bool isMatching = frame.permit.empty() ? hasNoExecute : frame.permit == record->permit;
+    if (!isMatching) {
+        return;
+    }
+    record->caller = caller;
+    switch (record->phase) {
+    case RecordPhase::Waiting:
+    case RecordPhase::Permitted:
+    case RecordPhase::Held: {
+        Shard &shard = shardAt(record->shard);
+        refuse(*record, RefusalReason::Cancelled, MinRetryAfter, now, actions);
+        dispatch(shard, now, actions);
+        break;
+    }
+    case RecordPhase::Sent: {
+        const UpstreamCancel cancelAttempt{record->attempt};
+        actions.push_back(
+                {Destination::Upstream, record->upstreamEndpoint, record->upstream, cancelAttempt});
+        break;
+    }
+    case RecordPhase::Answered:
+    case RecordPhase::Unknown:
+        sendAnswer(*record, actions);
+        break;
+    case RecordPhase::Refused:
+        sendRefusal(*record, MinRetryAfter, actions);
+        break;
+    case RecordPhase::Uploading:
+        break;
+    }
+}
+
+void Dispatcher::acknowledge(const AnswerAck &frame, Milliseconds now)
+{
+    RequestRecord *record = m_table.find(frame.request);
+    if (!record || record->phase != RecordPhase::Answered || record->permit != frame.permit) {
+        return;
+    }
+    // The record itself stays until the permit expires, so that a repeated Execute is recognised.
+    record->fragments.clear();
+    m_table.wakeAt(*record, std::max(now, record->permitExpiry) + Retention);
+}
+
+void Dispatcher::finishUpload(const Token &token, Milliseconds now, Actions &actions)
+{
+    refresh(now, actions);
+    RequestRecord *record = m_table.find(RequestId{token.subject});
+    if (!record || record->phase != RecordPhase::Uploading || record->upstream != token.upstream) {
+        return;
+    }
+    releaseSlot(*record, SlotResult::UploadStored, now);
+    const ShardKey shard = record->shard;
+    countTarget(*record, now);
+    finish(*record, RecordPhase::Answered, now);
+    dispatch(shardAt(shard), now, actions);
+}
+
+void Dispatcher::handleProbeReply(const ProbeReply &frame, Endpoint from, Milliseconds now,
+                                  Actions &actions)
+{
+    refresh(now, actions);
+    const UpstreamView *upstream = m_view->findUpstream(frame.upstream);
+    if (!upstream || upstream->endpoint != from) {
+        m_hooks.countRefusal(RefusalReason::Malformed, {}, {});
+        return;
+    }
+    if (upstream->service != frame.service) {
+        m_hooks.countRefusal(RefusalReason::WrongService, frame.service, {});
+        return;
+    }
+    if (frame.draining) {
+        markLeaving(frame.upstream);
+    }
+    for (auto &[key, shard] : m_shards) {
+        if (key.service == frame.service && shard.selector().handleProbeReply(frame, from, now)) {
+            dispatch(shard, now, actions);
+        }
+    }
+}
+
+void Dispatcher::tick(Milliseconds now, Actions &actions)
+{
+    refresh(now, actions);
+    while (RequestRecord *record = m_table.takeDue(now)) {
+        wake(*record, now, actions);
+    }
+    for (auto &[key, shard] : m_shards) {
+        dispatch(shard, now, actions);
+    }
+    if (now < m_nextProbe || m_isLeaving) {
+        return;
+    }
+    m_nextProbe = now + ProbeRound;
+    std::vector<SlotUse> targets;
+    std::vector<Probe> probes;
+    for (auto &[key, shard] : m_shards) {
+        shard.selector().probe(now, m_hooks.random, targets, probes);
+    }
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        const SlotUse &target = targets[i];
+        actions.push_back({Destination::Upstream, target.endpoint, target.upstream, probes[i]});
+    }
+}
+
+void Dispatcher::wake(RequestRecord &record, Milliseconds now, Actions &actions)
+{
+    switch (record.phase) {
+    case RecordPhase::Waiting:
+    case RecordPhase::Held:
+        refuse(record, RefusalReason::DeadlinePassed, MinRetryAfter, now, actions);
+        break;
+    case RecordPhase::Permitted:
+        if (now < record.permitExpiry) {
+            leavePhase(record, now);
+            m_table.wakeAt(record, record.permitExpiry);
+        } else {
+            refuse(record, RefusalReason::ExpiredToken, MinRetryAfter, now, actions);
+        }
+        break;
+    case RecordPhase::Sent:
+        handleTimeout(record, now, actions);
+        break;
+    case RecordPhase::Uploading:
+        releaseSlot(record, SlotResult::Neutral, now);
+        finish(record, RecordPhase::Unknown, now);
+        break;
+    case RecordPhase::Answered:
+    case RecordPhase::Unknown:
+    case RecordPhase::Refused:
+        m_table.erase(record.id());
+        break;
+    }
+}
+
+void Dispatcher::handleTimeout(RequestRecord &record, Milliseconds now, Actions &actions)
+{
+    const UpstreamCancel cancelAttempt{record.attempt};
+    actions.push_back(
+            {Destination::Upstream, record.upstreamEndpoint, record.upstream, cancelAttempt});
+    const bool mayRepeat = record.isIdempotent && now < record.deadline &&
+                           record.tries < MaxTries && shardAt(record.shard).retryBudget().take();
+    if (!mayRepeat && now < record.deadline) {
+        m_table.wakeAt(record, record.deadline);
+        return;
+    }
+    releaseSlot(record, SlotResult::TimedOut, now);
+    if (!mayRepeat) {
+        resolveUnknown(record, now, actions);
+        return;
+    }
+    m_hooks.countRetry(RetryReason::UpstreamTimeout, record.reservation.service,
+                       record.reservation.workClass);
+    m_table.clearAttempt(record);
+    record.mayHaveRun = true;
+    m_table.setPhase(record, RecordPhase::Held);
+    m_table.wakeAt(record, record.deadline);
+    shardAt(record.shard).held().push_front(record.id());
+}
+
+void Dispatcher::releaseSlot(RequestRecord &record, SlotResult result, Milliseconds now)
+{
+    Shard &shard = shardAt(record.shard);
+    shard.selector().release(slotOf(record), record.sentAt, result, now);
+    if (result == SlotResult::Answered) {
+        shard.countCompletion(now);
+    }
+}
+
+void Dispatcher::leavePhase(RequestRecord &record, Milliseconds)
+{
+    Shard &shard = shardAt(record.shard);
+    if (record.phase == RecordPhase::Waiting) {
+        shard.queue().remove(queueEntry(record));
+    } else if (record.phase == RecordPhase::Held) {
+        shard.held().remove(record.id());
+    }
+    if (std::exchange(record.isPermitCounted, false)) {
+        shard.permitSettled();
+    }
+}
+
+void Dispatcher::finish(RequestRecord &record, RecordPhase phase, Milliseconds now)
+{
+    leavePhase(record, now);
+    m_table.setPhase(record, phase);
+    record.body.clear();
+    const Milliseconds useful = std::min(record.deadline, now + MaxRetention);
+    m_table.wakeAt(record, std::max({now, useful, record.permitExpiry}) + Retention);
+}
+
+void Dispatcher::answer(RequestRecord &record, Milliseconds now, Actions &actions)
+{
+    const ServiceId service = record.reservation.service;
+    const ClassId workClass = record.reservation.workClass;
+    auto fragments = std::move(record.fragments);
+    m_table.clearAttempt(record);
+    record.fragments = std::move(fragments);
+    finish(record, RecordPhase::Answered, now);
+    m_hooks.countEvent(CoreEvent::RequestAnswered, service, workClass);
+    countTarget(record, now);
     sendAnswer(record, actions);
 }
 
-void Dispatcher::sendAnswer(const Record &record, Actions &actions) const
+void Dispatcher::resolveUnknown(RequestRecord &record, Milliseconds now, Actions &actions)
 {
-    const RequestId request = record.reservation.request;
-    if (record.outcome == Outcome::Unknown) {
-        const Answer answer{request, Outcome::Unknown, 0, 1, {}};
-        actions.push_back({Destination::Caller, record.caller, {}, answer});
+    m_table.clearAttempt(record);
+    finish(record, RecordPhase::Unknown, now);
+    m_hooks.countEvent(CoreEvent::RequestUnknown, record.reservation.service,
+                       record.reservation.workClass);
+    sendUnknown(record.id(), record.caller, actions);
+}
+
+void Dispatcher::refuse(RequestRecord &record, RefusalReason reason, Milliseconds retryAfter,
+                        Milliseconds now, Actions &actions)
+{
+    if (record.mayHaveRun) {
+        resolveUnknown(record, now, actions);
+        return;
+    }
+    m_table.clearAttempt(record);
+    finish(record, RecordPhase::Refused, now);
+    record.refusal = reason;
+    const bool hadPermit = record.permitExpiry > 0_ms;
+    if (!hadPermit && reason != RefusalReason::Cancelled) {
+        // No Execute can follow, so the next tick drops the record.
+        m_table.wakeAt(record, now);
+    }
+    m_hooks.countRefusal(reason, record.reservation.service, record.reservation.workClass);
+    sendRefusal(record, retryAfter, actions);
+}
+
+void Dispatcher::sendRefusal(const RequestRecord &record, Milliseconds retryAfter,
+                             Actions &actions) const
+{
+    const Refusal refusal{record.id().value, record.refusal, retryAfter, record.permit};
+    actions.push_back({Destination::Caller, record.caller, {}, refusal});
+}
+
+void Dispatcher::sendAnswer(const RequestRecord &record, Actions &actions) const
+{
+    if (record.phase == RecordPhase::Unknown) {
+        sendUnknown(record.id(), record.caller, actions);
         return;
     }
     const auto count = static_cast<std::uint16_t>(record.fragments.size());
     for (std::uint16_t i = 0; i < count; ++i) {
-        const Answer answer{request, Outcome::Done, i, count, *record.fragments[i]};
+        const Answer answer{record.id(), Outcome::Done, i, count, *record.fragments[i]};
         actions.push_back({Destination::Caller, record.caller, {}, answer});
     }
 }
 
-void Dispatcher::handleProbeReply(const ProbeReply &, Endpoint, Milliseconds, Actions &) {}
+void Dispatcher::sendUnknown(RequestId request, Endpoint caller, Actions &actions) const
+{
+    const Answer answer{request, Outcome::Unknown, 0, 1, {}};
+    actions.push_back({Destination::Caller, caller, {}, answer});
+}
 
-void Dispatcher::tick(Milliseconds now, Actions &actions)
+SealedToken Dispatcher::sealToken(const RequestRecord &record, TokenKind kind,
+                                  Milliseconds expiry) const
+{
+    Token token;
+    token.kind = kind;
+    token.service = record.reservation.service;
+    token.workClass = record.reservation.workClass;
+    token.house = record.reservation.house;
+    token.upstream = kind == TokenKind::Upload ? record.upstream : UpstreamId{};
+    token.owner = m_self;
+    token.ownerIncarnation = m_incarnation;
+    token.subject = record.id().value;
+    token.expiry = expiry;
+    return m_hooks.sealToken(token);
+}
+
+Milliseconds Dispatcher::jittered(Milliseconds duration) const
+{
+    const double factor = 0.5 + randomUnit(m_hooks.random);
+    return {std::llround(static_cast<double>(duration.value) * factor)};
+}
+
+void Dispatcher::countTarget(const RequestRecord &record, Milliseconds now)
+{
+    const ServiceId service = record.reservation.service;
+    const ClassId workClass = record.reservation.workClass;
+    const Milliseconds elapsed = now - record.arrival;
+    const bool isMet = elapsed <= record.target;
+    TargetCount &count = m_targets[{service, workClass}];
+    ++(isMet ? count.met : count.missed);
+    m_hooks.countEvent(isMet ? CoreEvent::TargetMet : CoreEvent::TargetMissed, service, workClass);
+    m_hooks.observe(CoreSample::AnswerTime, service, workClass, elapsed);
+}
+
+void Dispatcher::beginLeaving(Milliseconds now, Actions &actions)
+{
+    refresh(now, actions);
+    m_isLeaving = true;
+    for (auto &[key, shard] : m_shards) {
+        handOverWaiting(shard, now, actions);
+    }
+}
+
+void Dispatcher::refresh(Milliseconds now, Actions &actions)
 {
-    for (auto it = m_records.begin(); it != m_records.end();) {
-        Record &record = it->second;
-        if (record.phase == Phase::Sent && record.deadline < now) {
-            finish(record, Outcome::Unknown, now, actions);
+    m_now = now;
+    if (!std::exchange(m_isViewNew, false)) {
+        return;
+    }
+    m_liveUpstreams.clear();
+    for (const auto &[id, upstream] : m_view->upstreams) {
+        if (upstream.state == UpstreamState::Live && m_leavingUpstreams.count(id) == 0) {
+            m_liveUpstreams[upstream.service].push_back(upstream);
         }
-        if (record.keepUntil < now) {
-            m_attempts.erase(record.attempt);
-            it = m_records.erase(it);
-        } else {
-            ++it;
+    }
+    std::erase_if(m_leavingUpstreams, [this](UpstreamId id) { return !m_view->findUpstream(id); });
+    addDispatchedShards();
+    for (auto &[key, shard] : m_shards) {
+        shard.selector().setUpstreams(upstreamsOf(key));
+        if (!isDispatched(key)) {
+            handOverWaiting(shard, now, actions);
         }
     }
-    admitWaiting(now, actions);
+    std::erase_if(m_shards, [this](const auto &item) {
+        return item.second.isIdle() && !isDispatched(item.first);
+    });
 }
 
-void Dispatcher::beginLeaving(Milliseconds, Actions &)
+void Dispatcher::addDispatchedShards()
 {
-    m_isLeaving = true;
+    for (const auto &[service, upstreams] : m_liveUpstreams) {
+        const std::uint32_t shards = shardsOf(service);
+        for (std::uint32_t i = 0; i < shards; ++i) {
+            if (isDispatched({service, i})) {
+                m_shards.try_emplace({service, i}, ShardKey{service, i});
+            }
+        }
+    }
 }
 
-DispatcherLoad Dispatcher::load() const
+Shard &Dispatcher::shardFor(ServiceId service, std::uint64_t subject)
 {
-    DispatcherLoad load;
-    load.waiting = m_waiting.size();
-    for (const auto &[id, record] : m_records) {
-        load.permitted += record.phase == Phase::Permitted ? 1 : 0;
-        load.sent += record.phase == Phase::Sent ? 1 : 0;
+    return shardAt({service, shardOfSubject(subject, shardsOf(service))});
+}
+
+Shard &Dispatcher::shardAt(ShardKey key)
+{
+    const auto [position, isNew] = m_shards.try_emplace(key, key);
+    if (isNew) {
+        position->second.selector().setUpstreams(upstreamsOf(key));
     }
-    return load;
+    return position->second;
 }
 
-TrafficStatus Dispatcher::status() const
+std::vector<UpstreamView> Dispatcher::upstreamsOf(ShardKey key) const
+{
+    std::vector<UpstreamView> result;
+    const auto found = m_liveUpstreams.find(key.service);
+    if (found == m_liveUpstreams.end()) {
+        return result;
+    }
+    const std::uint32_t shards = shardsOf(key.service);
+    for (const UpstreamView &upstream : found->second) {
+        if (shardOfUpstream(upstream.id, shards) == key.shard) {
+            result.push_back(upstream);
+        }
+    }
+    return result;
+}
+
+std::uint32_t Dispatcher::shardsOf(ServiceId service) const
+{
+    const auto found = m_liveUpstreams.find(service);
+    return shardCount(found == m_liveUpstreams.end() ? 0 : found->second.size());
+}
+
+bool Dispatcher::isDispatched(ShardKey key) const
 {
-    return {};
+    return key.shard < shardsOf(key.service) &&
+           dispatcherOf(*m_view, key.service, key.shard) == m_self;
 }
 
-void Dispatcher::refuse(std::uint64_t subject, Endpoint caller, RefusalReason reason,
-                        ServiceId service, ClassId workClass, Actions &actions)
+void Dispatcher::handOverWaiting(Shard &shard, Milliseconds now, Actions &actions)
 {
-    m_hooks.countRefusal(reason, service, workClass);
-    const Refusal refusal{subject, reason, 100_ms, {}};
-    actions.push_back({Destination::Caller, caller, {}, refusal});
+    for (const RequestId request : shard.queue().drain()) {
+        handOver(*m_table.find(request), now, actions);
+    }
+}
+
+void Dispatcher::handOver(RequestRecord &record, Milliseconds now, Actions &actions)
+{
+    const ServiceId service = record.reservation.service;
+    const std::uint32_t shard = shardOfSubject(record.id().value, shardsOf(service));
+    const auto next = dispatcherOf(*m_view, service, shard);
+    const MemberView *peer = next ? m_view->findMember(*next) : nullptr;
+    if (next == m_self && !m_isLeaving) {
+        Shard &own = shardAt({service, shard});
+        record.shard = own.key();
+        own.queue().push(queueEntry(record));
+        return;
+    }
+    if (!peer || next == m_self) {
+        refuse(record, RefusalReason::Leaving, jittered(MinRetryAfter * 2), now, actions);
+        return;
+    }
+    Relayed<Reserve> relayed{record.caller, 1, record.reservation};
+    relayed.inner.remaining = record.deadline - now;
+    relayed.inner.waited = now - record.arrival;
+    actions.push_back({Destination::Peer, peer->endpoint, {}, relayed});
+    m_hooks.countEvent(CoreEvent::ReservationHandedOver, service, record.reservation.workClass);
+    m_table.erase(record.id());
 }
 
-std::optional<UpstreamView> Dispatcher::leastLoaded(ServiceId service) const
+void Dispatcher::markLeaving(UpstreamId upstream)
 {
-    std::optional<UpstreamView> best;
-    int bestLoad = 0;
-    for (const UpstreamView &upstream : m_view->liveUpstreams(service)) {
-        const auto found = m_inUse.find(upstream.id);
-        const int load = found == m_inUse.end() ? 0 : found->second;
-        if (!best || load < bestLoad) {
-            best = upstream;
-            bestLoad = load;
+    if (!m_leavingUpstreams.insert(upstream).second) {
+        return;
+    }
+    for (auto &[key, shard] : m_shards) {
+        shard.selector().markLeaving(upstream);
+    }
+    m_hooks.reportLeaving(upstream);
+}
+
+DispatcherLoad Dispatcher::load() const
+{
+    DispatcherLoad load;
+    load.waiting = m_table.countOf(RecordPhase::Waiting);
+    load.permitted = m_table.countOf(RecordPhase::Permitted) + m_table.countOf(RecordPhase::Held);
+    load.sent = m_table.countOf(RecordPhase::Sent);
+    load.uploads = m_table.countOf(RecordPhase::Uploading);
+    return load;
+}
+
+TrafficStatus Dispatcher::status() const
+{
+    TrafficStatus status;
+    std::map<std::pair<ServiceId, ClassId>, ClassStatus> classes;
+    for (const auto &[key, count] : m_targets) {
+        classes[key] = {key.first, key.second, 0, count.met, count.missed};
+    }
+    for (const auto &[key, shard] : m_shards) {
+        shard.selector().appendStatus(m_now, status.upstreams);
+        for (const ClassId id : shard.queue().classes()) {
+            ClassStatus &entry = classes[{key.service, id}];
+            entry.service = key.service;
+            entry.workClass = id;
+            entry.waiting += shard.queue().sizeOf(id);
         }
     }
-    return best;
+    for (const auto &[key, entry] : classes) {
+        status.classes.push_back(entry);
+    }
+    return status;
 }
 
 } // namespace damaskhall
--- a/src/core/dispatch/dispatcher.h
+++ b/src/core/dispatch/dispatcher.h
@@ -2,16 +2,19 @@
 
 #include "core/action.h"
 #include "core/corehooks.h"
+#include "core/dispatch/requesttable.h"
+#include "core/dispatch/shard.h"
 #include "core/messages.h"
 #include "core/routingview.h"
 #include "core/status.h"
 
 #include <cstddef>
-#include <deque>
+#include <map>
 #include <memory>
 #include <optional>
-#include <string>
 #include <unordered_map>
+#include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace damaskhall {
@@ -46,7 +49,9 @@
     /// Precondition: @p permit is valid, names this incarnation and frame.request.
     void execute(const Execute &frame, const Token &permit, Endpoint caller, Milliseconds now,
                  Actions &actions);
+    /// Withdraws a request. Without a permit only one that has no Execute yet is withdrawn.
     void cancel(const Cancel &frame, Endpoint caller, Milliseconds now, Actions &actions);
+    /// Drops the stored answer.
     void acknowledge(const AnswerAck &frame, Milliseconds now);
     /// Frees the slot of a stored upload. Precondition: @p token names this incarnation.
     void finishUpload(const Token &token, Milliseconds now, Actions &actions);
@@ -59,7 +64,7 @@
     void tick(Milliseconds now, Actions &actions);
 
     /// Stops admitting work and relays waiting reservations to the next dispatcher. Work that was
-    /// permitted is finished.
+    /// permitted is finished. Precondition: the view marks this balancer as leaving.
     void beginLeaving(Milliseconds now, Actions &actions);
 
     DispatcherLoad load() const;
@@ -68,45 +73,70 @@
     TrafficStatus status() const;
 
 private:
-    enum class Phase {
-        Waiting,
-        Permitted,
-        Sent,
-        Done,
-    };
-
-    struct Record
+    struct TargetCount
     {
-        Reserve reservation;
-        Endpoint caller;
-        Phase phase = Phase::Waiting;
-        SealedToken permit;
-        Milliseconds deadline;
-        Milliseconds keepUntil;
-        UpstreamId upstream;
-        AttemptId attempt;
-        std::vector<std::optional<std::string>> fragments;
-        Outcome outcome = Outcome::Done;
+        std::uint64_t met = 0;
+        std::uint64_t missed = 0;
     };
 
-    void admitWaiting(Milliseconds now, Actions &actions);
-    void issuePermit(Record &record, Milliseconds now, Actions &actions);
-    void send(Record &record, const Execute &frame, Milliseconds now, Actions &actions);
-    void finish(Record &record, Outcome outcome, Milliseconds now, Actions &actions);
-    void sendAnswer(const Record &record, Actions &actions) const;
-    void refuse(std::uint64_t subject, Endpoint caller, RefusalReason reason, ServiceId service,
-                ClassId workClass, Actions &actions);
-    std::optional<UpstreamView> leastLoaded(ServiceId service) const;
+    // Shards and the view.
+    void refresh(Milliseconds now, Actions &actions);
+    void addDispatchedShards();
+    Shard &shardFor(ServiceId service, std::uint64_t subject);
+    Shard &shardAt(ShardKey key);
+    std::vector<UpstreamView> upstreamsOf(ShardKey key) const;
+    std::uint32_t shardsOf(ServiceId service) const;
+    bool isDispatched(ShardKey key) const;
+    void handOverWaiting(Shard &shard, Milliseconds now, Actions &actions);
+    void handOver(RequestRecord &record, Milliseconds now, Actions &actions);
+    void markLeaving(UpstreamId upstream);
+
+    // Life of a request, in order.
+    void enqueue(RequestRecord &record, const Reserve &frame, Milliseconds now, Actions &actions);
+    std::optional<RefusalReason> refusalOf(const RequestRecord &record, Milliseconds now,
+                                           Milliseconds &retryAfter);
+    void repeatReply(RequestRecord &record, Milliseconds now, Actions &actions);
+    void dispatch(Shard &shard, Milliseconds now, Actions &actions);
+    void sendHeld(Shard &shard, Milliseconds now, Actions &actions);
+    void issuePermits(Shard &shard, Milliseconds now, Actions &actions);
+    void issuePermit(Shard &shard, RequestRecord &record, Milliseconds now, Actions &actions);
+    void startUpload(Shard &shard, RequestRecord &record, Milliseconds now, Actions &actions);
+    void hold(Shard &shard, RequestRecord &record, const Execute &frame, Milliseconds now);
+    void send(RequestRecord &record, const SlotUse &slot, Milliseconds now, Actions &actions);
+    void completeReply(RequestRecord &record, ReplyStatus status, Milliseconds now,
+                       Actions &actions);
+    void retry(RequestRecord &record, RetryReason reason, Milliseconds now, Actions &actions);
+    void wake(RequestRecord &record, Milliseconds now, Actions &actions);
+    void handleTimeout(RequestRecord &record, Milliseconds now, Actions &actions);
+    void releaseSlot(RequestRecord &record, SlotResult result, Milliseconds now);
+    void leavePhase(RequestRecord &record, Milliseconds now);
+    void finish(RequestRecord &record, RecordPhase phase, Milliseconds now);
+    void answer(RequestRecord &record, Milliseconds now, Actions &actions);
+    void resolveUnknown(RequestRecord &record, Milliseconds now, Actions &actions);
+    void refuse(RequestRecord &record, RefusalReason reason, Milliseconds retryAfter,
+                Milliseconds now, Actions &actions);
+    void sendAnswer(const RequestRecord &record, Actions &actions) const;
+    void sendUnknown(RequestId request, Endpoint caller, Actions &actions) const;
+    void sendRefusal(const RequestRecord &record, Milliseconds retryAfter, Actions &actions) const;
+    void dropLateReply(const UpstreamReply &frame, Endpoint from, Actions &actions);
+    SealedToken sealToken(const RequestRecord &record, TokenKind kind, Milliseconds expiry) const;
+    Milliseconds jittered(Milliseconds duration) const;
+    void countTarget(const RequestRecord &record, Milliseconds now);
 
     InstanceId m_self;
     Incarnation m_incarnation;
     CoreHooks m_hooks;
     std::shared_ptr<const RoutingView> m_view;
-    std::unordered_map<RequestId, Record> m_records;
-    std::unordered_map<AttemptId, RequestId> m_attempts;
-    std::unordered_map<UpstreamId, int> m_inUse;
-    std::deque<RequestId> m_waiting;
+    bool m_isViewNew = false;
     bool m_isLeaving = false;
+    Milliseconds m_now;
+    Milliseconds m_nextProbe;
+    RequestTable m_table;
+    std::map<ShardKey, Shard> m_shards;
+    std::unordered_map<ServiceId, std::vector<UpstreamView>> m_liveUpstreams;
+    /// Upstreams that said that they are leaving; never withdrawn while they are listed.
+    std::unordered_set<UpstreamId> m_leavingUpstreams;
+    std::map<std::pair<ServiceId, ClassId>, TargetCount> m_targets;
 };
 
 } // namespace damaskhall
--- /dev/null
+++ b/src/core/dispatch/fairqueue.cpp
@@ -0,0 +1,176 @@
+#include "core/dispatch/fairqueue.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace damaskhall {
+
+FairQueue::FairQueue(std::size_t maxPerClass)
+    : m_maxPerClass(maxPerClass)
+{
+}
+
+std::optional<RequestId> FairQueue::push(const QueueEntry &entry)
+{
+    ClassQueue &queue = m_classes[entry.workClass];
+    queue.target = entry.target;
+    HouseQueue &house = queue.houses[entry.house];
+    if (house.entries.empty()) {
+        house.startTag = std::max(house.startTag, queue.virtualTime);
+    }
+    house.entries.emplace(Position(entry.arrival, m_sequence++), entry.request);
+    ++queue.size;
+    ++m_size;
+    if (queue.size <= m_maxPerClass) {
+        return std::nullopt;
+    }
+    const auto largest = std::max_element(
+            queue.houses.begin(), queue.houses.end(), [](const auto &a, const auto &b) {
+                return a.second.entries.size() < b.second.entries.size();
+            });
+    const auto newest = std::prev(largest->second.entries.end());
+    const RequestId evicted = newest->second;
+    erase(queue, largest, newest);
+    return evicted;
+}
+
+std::optional<RequestId> FairQueue::front()
+{
+    ClassQueue *queue = nextClass();
+    if (!queue) {
+        return std::nullopt;
+    }
+    return nextHouse(*queue)->second.entries.begin()->second;
+}
+
+std::optional<RequestId> FairQueue::pop()
+{
+    ClassQueue *queue = nextClass();
+    if (!queue) {
+        return std::nullopt;
+    }
+    const auto house = nextHouse(*queue);
+    const auto entry = house->second.entries.begin();
+    const RequestId request = entry->second;
+    queue->virtualTime = house->second.startTag;
+    ++house->second.startTag;
+    erase(*queue, house, entry);
+    return request;
+}
+
+FairQueue::ClassQueue *FairQueue::nextClass()
+{
+    ClassQueue *best = nullptr;
+    Milliseconds bestDue;
+    for (auto &[id, queue] : m_classes) {
+        if (queue.size == 0) {
+            continue;
+        }
+        const Milliseconds arrival = nextHouse(queue)->second.entries.begin()->first.first;
+        const Milliseconds due = arrival + queue.target;
+        if (!best || due < bestDue) {
+            best = &queue;
+            bestDue = due;
+        }
+    }
+    return best;
+}
+
+void FairQueue::remove(const QueueEntry &entry)
+{
+    const auto queue = m_classes.find(entry.workClass);
+    if (queue == m_classes.end()) {
+        return;
+    }
+    const auto house = queue->second.houses.find(entry.house);
+    if (house == queue->second.houses.end()) {
+        return;
+    }
+    auto &entries = house->second.entries;
+    for (auto it = entries.lower_bound(Position(entry.arrival, 0)); it != entries.end(); ++it) {
+        if (it->first.first != entry.arrival) {
+            return;
+        }
+        if (it->second == entry.request) {
+            erase(queue->second, house, it);
+            return;
+        }
+    }
+}
+
+std::vector<RequestId> FairQueue::drain()
+{
+    std::vector<RequestId> requests;
+    while (const auto request = pop()) {
+        requests.push_back(*request);
+    }
+    return requests;
+}
+
+std::size_t FairQueue::sizeOf(ClassId workClass) const
+{
+    const auto queue = m_classes.find(workClass);
+    return queue == m_classes.end() ? 0 : queue->second.size;
+}
+
+std::vector<ClassId> FairQueue::classes() const
+{
+    std::vector<ClassId> ids;
+    for (const auto &[id, queue] : m_classes) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+std::size_t FairQueue::countAhead(ClassId workClass, HouseId house, Milliseconds target) const
+{
+    std::size_t ahead = 0;
+    for (const auto &[id, queue] : m_classes) {
+        if (id != workClass) {
+            ahead += queue.target <= target ? queue.size : 0;
+            continue;
+        }
+        const auto own = queue.houses.find(house);
+        const std::size_t ownSize = own == queue.houses.end() ? 0 : own->second.entries.size();
+        for (const auto &[other, entries] : queue.houses) {
+            ahead += std::min(entries.entries.size(), other == house ? ownSize : ownSize + 1);
+        }
+    }
+    return ahead;
+}
+
+std::map<HouseId, FairQueue::HouseQueue>::iterator FairQueue::nextHouse(ClassQueue &queue)
+{
+    auto best = queue.houses.end();
+    for (auto it = queue.houses.begin(); it != queue.houses.end(); ++it) {
+        if (it->second.entries.empty()) {
+            continue;
+        }
+        const auto rank = [](const HouseQueue &house) {
+            return std::pair(house.startTag, house.entries.begin()->first);
+        };
+        if (best == queue.houses.end() || rank(it->second) < rank(best->second)) {
+            best = it;
+        }
+    }
+    return best;
+}
+
+void FairQueue::erase(ClassQueue &queue, std::map<HouseId, HouseQueue>::iterator house,
+                      std::map<Position, RequestId>::iterator entry)
+{
+    house->second.entries.erase(entry);
+    --queue.size;
+    --m_size;
+    dropIdleHouses(queue);
+}
+
+void FairQueue::dropIdleHouses(ClassQueue &queue)
+{
+    // A house without entries whose tag has been reached would get the same tag again.
+    std::erase_if(queue.houses, [&](const auto &item) {
+        return item.second.entries.empty() && item.second.startTag <= queue.virtualTime;
+    });
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/dispatch/retrybudget.cpp
@@ -0,0 +1,29 @@
+#include "core/dispatch/retrybudget.h"
+
+#include <algorithm>
+
+namespace damaskhall {
+
+namespace {
+
+constexpr double RetryShare = 0.1;
+/// Allows the retries of one drained or killed upstream after a quiet time, not a storm.
+constexpr double MaxAllowance = 20;
+
+} // namespace
+
+void RetryBudget::onRequestTaken()
+{
+    m_allowance = std::min(m_allowance + RetryShare, MaxAllowance);
+}
+
+bool RetryBudget::take()
+{
+    if (m_allowance < 1) {
+        return false;
+    }
+    m_allowance -= 1;
+    return true;
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/dispatch/shard.cpp
@@ -0,0 +1,75 @@
+#include "core/dispatch/shard.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace damaskhall {
+
+namespace {
+
+/// Bounds memory; early refusal keeps queues far shorter.
+constexpr std::size_t MaxWaitingPerClass = 8'192;
+constexpr double RoundTripGain = 1.0 / 8;
+/// A lost Permit or Execute is repeated after 200 ms; such samples say nothing about the path.
+constexpr double MaxRoundTripMs = 100;
+/// Learned limits overestimate the capacity while a trial of a higher limit runs.
+constexpr double CapacityShare = 0.8;
+
+} // namespace
+
+Shard::Shard(ShardKey key)
+    : m_key(key)
+    , m_queue(MaxWaitingPerClass)
+{
+}
+
+bool Shard::mayPermit(Milliseconds now) const
+{
+    const double expected = std::ceil(m_completions.rate(now) * m_permitRoundTrip);
+    const std::size_t allowed = m_selector.freeSlots(now) + static_cast<std::size_t>(expected);
+    return m_selector.hasUsable(now) && outstanding() < allowed;
+}
+
+bool Shard::mayStartUpload(Milliseconds now) const
+{
+    return outstanding() < m_selector.freeSlots(now);
+}
+
+void Shard::permitSettled()
+{
+    m_permits -= m_permits > 0 ? 1 : 0;
+}
+
+void Shard::observePermitRoundTrip(Milliseconds elapsed)
+{
+    const double sample = std::min(static_cast<double>(elapsed.value), MaxRoundTripMs);
+    const bool isFirst = m_permitRoundTrip == 0;
+    m_permitRoundTrip += isFirst ? sample : (sample - m_permitRoundTrip) * RoundTripGain;
+}
+
+Milliseconds Shard::permitRoundTrip() const
+{
+    return {std::llround(m_permitRoundTrip)};
+}
+
+std::optional<Milliseconds> Shard::expectedWait(const QueueEntry &entry, Milliseconds now) const
+{
+    const std::size_t ahead =
+            m_queue.countAhead(entry.workClass, entry.house, entry.target) + outstanding() + 1;
+    const std::size_t free = m_selector.freeSlots(now);
+    if (ahead <= free) {
+        return 0_ms;
+    }
+    const double rate = std::max(m_completions.rate(now), m_selector.capacity(now) * CapacityShare);
+    if (rate <= 0) {
+        return std::nullopt;
+    }
+    return Milliseconds{std::llround(static_cast<double>(ahead - free) / rate)};
+}
+
+bool Shard::isIdle() const
+{
+    return m_queue.size() == 0 && outstanding() == 0 && m_selector.slotsInUse() == 0;
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/dispatch/shardkey.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "base/ids.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace damaskhall {
+
+/// One queue of a service; see MaxUpstreamsPerShard.
+struct ShardKey
+{
+    ServiceId service;
+    std::uint32_t shard = 0;
+
+    auto operator<=>(const ShardKey &) const = default;
+};
+
+} // namespace damaskhall
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -66,8 +66,19 @@
 
 void Router::setView(std::shared_ptr<const RoutingView> view)
 {
-    m_view = view;
-    m_dispatcher.setView(std::move(view));
+    m_view = m_isLeaving ? withSelfLeaving(*view) : std::move(view);
+    m_dispatcher.setView(m_view);
+}
+
+std::shared_ptr<const RoutingView> Router::withSelfLeaving(const RoutingView &view) const
+{
+    auto changed = std::make_shared<RoutingView>(view);
+    for (MemberView &member : changed->members) {
+        if (member.id == m_self) {
+            member.state = MemberState::Leaving;
+        }
+    }
+    return changed;
 }
 
 void Router::handle(const Frame &frame, Endpoint from, Milliseconds now, Actions &actions)
@@ -145,6 +156,9 @@
 
 void Router::beginLeaving(Milliseconds now, Actions &actions)
 {
+    // Views that the control thread made earlier still name this balancer as dispatcher.
+    m_isLeaving = true;
+    setView(m_view);
     m_dispatcher.beginLeaving(now, actions);
 }
 
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -72,6 +72,7 @@
                 ClassId workClass, Actions &actions);
     void drop(RefusalReason reason, ServiceId service = {}, ClassId workClass = {});
     std::optional<Token> openToken(const SealedToken &sealed);
+    std::shared_ptr<const RoutingView> withSelfLeaving(const RoutingView &view) const;
     bool isMember(Endpoint endpoint) const;
     bool isUpstream(Endpoint endpoint, UpstreamId id) const;
 
@@ -81,6 +82,7 @@
     FilterChain m_admission;
     Dispatcher m_dispatcher;
     std::shared_ptr<const RoutingView> m_view;
+    bool m_isLeaving = false;
 };
 
 } // namespace damaskhall
--- /dev/null
+++ b/tests/core/dispatch/wholepath_test.cpp
@@ -0,0 +1,185 @@
+#include "fakes/session.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+namespace damaskhall {
+namespace {
+
+const ServiceId Board = serviceId("workshop-board");
+const ClassId Claim = classId("workshop-board", "claim");
+const ClassId Lookup = classId("workshop-board", "lookup");
+
+Declaration workshopDeclaration()
+{
+    Declaration declaration;
+    ServiceDeclaration board{Board, "workshop-board", {}};
+    board.classes.push_back({Claim, "claim", WorkKind::Request, false, 2_s});
+    board.classes.push_back({Lookup, "lookup", WorkKind::Request, true, 2_s});
+    declaration.services.push_back(board);
+    declaration.houses.push_back({houseId("benches"), "benches"});
+    return declaration;
+}
+
+/// A day at the workshop board in virtual time, with the promises that must hold on every day.
+class WorkshopDay : public ::testing::Test
+{
+protected:
+    void open(fakes::SessionOptions options, int upstreams = 4)
+    {
+        m_session = std::make_unique<fakes::Session>(options, workshopDeclaration());
+        for (int id = 1; id <= upstreams; ++id) {
+            m_session->addUpstream({UpstreamId{static_cast<std::uint64_t>(id)}, Board, {}, 2, 20});
+        }
+        m_session->runFor(100_ms);
+    }
+
+    void claim(int count, Milliseconds gap = 5_ms, ClassId workClass = Claim)
+    {
+        for (int i = 0; i < count; ++i) {
+            ++m_claims;
+            const Reserve reserve{RequestId{m_claims}, Board, workClass,
+                                  houseId("benches"),  4_s,   0_ms};
+            m_session->startRequest(reserve, std::to_string(m_claims));
+            m_session->runFor(gap);
+        }
+    }
+
+    int countOf(RequestPhase phase) const
+    {
+        int count = 0;
+        for (const RequestClient &request : m_session->requests()) {
+            count += request.phase() == phase ? 1 : 0;
+        }
+        return count;
+    }
+
+    std::map<std::string, int> runs() const
+    {
+        std::map<std::string, int> total;
+        for (const auto &[id, upstream] : m_session->upstreams()) {
+            for (const auto &[body, count] : upstream->runs()) {
+                total[body] += count;
+            }
+        }
+        return total;
+    }
+
+    /// Guards against claims that run twice, refusals of claims that ran, and crossed answers.
+    void expectPromisesKept() const
+    {
+        const auto ran = runs();
+        for (const auto &[body, count] : ran) {
+            EXPECT_EQ(count, 1) << "claim " << body;
+        }
+        std::uint64_t number = 0;
+        for (const RequestClient &request : m_session->requests()) {
+            const std::string body = std::to_string(++number);
+            EXPECT_TRUE(request.isFinished()) << "claim " << body;
+            if (request.phase() == RequestPhase::Refused) {
+                EXPECT_EQ(ran.count(body), 0U) << "refused claim ran: " << body;
+            } else if (request.phase() == RequestPhase::Answered) {
+                EXPECT_EQ(request.answer(), "done " + body);
+            }
+        }
+    }
+
+    /// Index of the balancer that dispatches the board.
+    std::uint32_t dispatcher()
+    {
+        for (std::uint32_t i = 0; i < 3; ++i) {
+            if (!m_session->router(i).status().upstreams.empty()) {
+                return i;
+            }
+        }
+        return 0;
+    }
+
+    std::unique_ptr<fakes::Session> m_session;
+    std::uint64_t m_claims = 0;
+};
+
+fakes::SessionOptions threeBalancers(std::uint64_t seed = 1)
+{
+    fakes::SessionOptions options;
+    options.seed = seed;
+    options.balancers = 3;
+    return options;
+}
+
+// Guards against claims lost to cold limits: upstreams start with one slot and are learned.
+TEST_F(WorkshopDay, QuietDayAnswersEveryClaim)
+{
+    open(threeBalancers());
+    claim(200);
+    m_session->runFor(5_s);
+    EXPECT_EQ(countOf(RequestPhase::Answered), 200);
+    expectPromisesKept();
+}
+
+// Guards against reservations that are lost with their dispatcher.
+TEST_F(WorkshopDay, DispatcherDiesWhileReservationsWait)
+{
+    open(threeBalancers());
+    claim(60, 1_ms);
+    const std::uint32_t dead = dispatcher();
+    const std::size_t sent =
+            m_session->router(dead).load().sent + m_session->router(dead).load().permitted;
+    ASSERT_GT(m_session->router(dead).load().waiting, 0U);
+    m_session->killBalancer(dead);
+    m_session->runFor(6_s);
+    EXPECT_LE(countOf(RequestPhase::Unknown), static_cast<int>(sent));
+    EXPECT_EQ(countOf(RequestPhase::Refused), 0);
+    expectPromisesKept();
+}
+
+// Guards against a planned stop that loses, refuses or leaves unknown a single claim.
+TEST_F(WorkshopDay, DispatcherLeavesWhileReservationsWait)
+{
+    open(threeBalancers());
+    claim(60, 1_ms);
+    const std::uint32_t leaving = dispatcher();
+    m_session->beginLeaving(leaving);
+    EXPECT_EQ(m_session->router(leaving).load().waiting, 0U);
+    m_session->runFor(6_s);
+    EXPECT_EQ(countOf(RequestPhase::Answered), 60);
+    EXPECT_TRUE(m_session->router(leaving).load().isEmpty());
+    expectPromisesKept();
+}
+
+// Guards against an owner that sends, after it resumes, what its callers have given up or
+// executed elsewhere.
+TEST_F(WorkshopDay, FrozenOwnerResumes)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        SCOPED_TRACE(seed);
+        m_claims = 0;
+        open(threeBalancers(seed));
+        claim(40, 2_ms);
+        m_session->freezeBalancer(dispatcher(), m_session->events().now() + 1500_ms);
+        claim(40, 2_ms);
+        m_session->runFor(8_s);
+        expectPromisesKept();
+    }
+}
+
+// Guards against a restarted owner that takes permits of its predecessor for its own.
+TEST_F(WorkshopDay, RestartedOwnerAnswersUnknown)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        SCOPED_TRACE(seed);
+        m_claims = 0;
+        open(threeBalancers(seed));
+        claim(40, 2_ms);
+        m_session->restartBalancer(dispatcher());
+        claim(40, 2_ms);
+        m_session->runFor(8_s);
+        expectPromisesKept();
+        EXPECT_GE(countOf(RequestPhase::Answered), 40);
+    }
+}
+
+} // namespace
+} // namespace damaskhall
