--- a/src/config/declaration.h
+++ b/src/config/declaration.h
@@ -44,6 +44,8 @@
 {
     HouseId id;
     std::string name;
+    /// Optional text for people.
+    std::string displayName = {};
 
     bool operator==(const HouseDeclaration &) const = default;
 };
