Add the control plane: membership, configuration and upstream directory

Cause: balancers polled the platform four times a second each, had no contact with each other and saw changes only through the lagging list.

Change: a deterministic ControlPlane (MembershipController, ConfigController, UpstreamController, PlatformSchedule) with a msgpack codec, UDP probes and announcements, and TCP pulls between balancers (PeerLinks). ControlWorker::start() now reports a socket that cannot be opened.

The new classes have no tests yet.

--- a/src/apps/damaskhall-balancer.cpp
+++ b/src/apps/damaskhall-balancer.cpp
@@ -26,6 +26,12 @@
         ("listen", po::value<std::string>()->required(), "address and port of the traffic socket")
         ("data-centre", po::value<std::string>()->required(), "data centre of this instance")
         ("platform", po::value<std::string>()->required(), "address and port of the platform")
+        ("control-listen", po::value<std::string>(),
+         "address and port of the control socket (default: port of --listen + 1000)")
+        ("seed", po::value<std::vector<std::string>>()->composing(),
+         "control address and port of a balancer to ask first; may be repeated")
+        ("remote-peer", po::value<std::vector<std::string>>()->composing(),
+         "control address and port of a balancer in another data centre; may be repeated")
         ("token-key", po::value<std::string>()->required(), "token key, 32 hexadecimal digits");
     // clang-format on
     po::variables_map values;
@@ -63,6 +69,32 @@
     return hooks;
 }
 
+Result<std::vector<Endpoint>> endpoints(const po::variables_map &values, const char *option)
+{
+    std::vector<Endpoint> parsed;
+    if (values.count(option) == 0) {
+        return parsed;
+    }
+    for (const std::string &text : values[option].as<std::vector<std::string>>()) {
+        BOOST_OUTCOME_TRY(endpoint, parseEndpoint(text));
+        parsed.push_back(endpoint);
+    }
+    return parsed;
+}
+
+Result<ControlOptions> controlOptions(const po::variables_map &values, ControlOptions options)
+{
+    BOOST_OUTCOME_TRY(seeds, endpoints(values, "seed"));
+    BOOST_OUTCOME_TRY(remotePeers, endpoints(values, "remote-peer"));
+    options.seeds = std::move(seeds);
+    options.remotePeers = std::move(remotePeers);
+    if (values.count("control-listen") > 0) {
+        BOOST_OUTCOME_TRY(listen, parseEndpoint(values["control-listen"].as<std::string>()));
+        options.controlListen = listen;
+    }
+    return options;
+}
+
 Result<int> run(const po::variables_map &values)
 {
     BOOST_OUTCOME_TRY(listen, parseEndpoint(values["listen"].as<std::string>()));
@@ -81,10 +113,12 @@
 
     TrafficWorker traffic({self, incarnation, listen}, makeHooks(sealer), Clock());
     BOOST_OUTCOME_TRYV(traffic.start());
-    ControlWorker control(
-            {self, incarnation, listen, values["data-centre"].as<std::string>(), platform},
-            [&traffic](auto view) { traffic.publish(std::move(view)); });
-    control.start();
+    BOOST_OUTCOME_TRY(controlSettings,
+                      controlOptions(values, {self, incarnation, listen,
+                                              values["data-centre"].as<std::string>(), platform}));
+    ControlWorker control(controlSettings,
+                          [&traffic](auto view) { traffic.publish(std::move(view)); });
+    BOOST_OUTCOME_TRYV(control.start());
 
     int received = 0;
     sigwait(&signals, &received);
--- /dev/null
+++ b/src/core/control/configcontroller.cpp
@@ -0,0 +1,199 @@
+#include "core/control/configcontroller.h"
+
+#include "config/declarationparser.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace damaskhall {
+
+namespace {
+
+constexpr Milliseconds PullTimeout = 1_s;
+constexpr std::size_t MaxCandidates = 8;
+/// Removed sections that are remembered; with more, the base of deltas is raised.
+constexpr std::size_t MaxRemovedSections = 1024;
+
+} // namespace
+
+ConfigController::ConfigController(const ControlHooks &hooks)
+    : m_hooks(hooks)
+{
+}
+
+void ConfigController::handleDocument(const ConfigDocument &document)
+{
+    if (document.revision < m_document.revision) {
+        m_hooks.countEvent(ControlEvent::LowerRevisionIgnored);
+        return;
+    }
+    if (document.revision > m_document.revision) {
+        apply(document);
+    }
+}
+
+bool ConfigController::apply(ConfigDocument document)
+{
+    auto parsed = parseDeclaration(document.text(),
+                                   "revision " + std::to_string(document.revision.value));
+    if (!parsed) {
+        m_hooks.countEvent(ControlEvent::DeclarationRejected);
+        return false;
+    }
+    parsed.assume_value().revision = document.revision;
+    recordChanges(document);
+    m_declaration = std::make_shared<const Declaration>(std::move(parsed.assume_value()));
+    m_document = std::move(document);
+    std::erase_if(m_candidates, [this](const Candidate &candidate) {
+        return candidate.revision <= m_document.revision;
+    });
+    m_hooks.countEvent(ControlEvent::DeclarationApplied);
+    return true;
+}
+
+// A step over several revisions marks a section with the last of them, so that a delta may hold
+// more than needed, but never less.
+void ConfigController::recordChanges(const ConfigDocument &next)
+{
+    if (m_document.revision == Revision{} || m_removedAt.size() > MaxRemovedSections) {
+        m_deltaBase = next.revision;
+        m_changedAt.clear();
+        m_removedAt.clear();
+        return;
+    }
+    for (const auto &[name, text] : next.sections) {
+        const auto old = m_document.sections.find(name);
+        if (old == m_document.sections.end() || old->second != text) {
+            m_changedAt[name] = next.revision;
+            m_removedAt.erase(name);
+        }
+    }
+    for (const auto &[name, text] : m_document.sections) {
+        if (!next.sections.contains(name)) {
+            m_removedAt[name] = next.revision;
+            m_changedAt.erase(name);
+        }
+    }
+}
+
+void ConfigController::noteRevision(Endpoint peer, Revision revision, Milliseconds now,
+                                    ControlActions &actions)
+{
+    if (revision <= m_document.revision) {
+        return;
+    }
+    std::erase_if(m_candidates,
+                  [peer](const Candidate &candidate) { return candidate.peer == peer; });
+    if (m_candidates.size() == MaxCandidates) {
+        m_candidates.erase(m_candidates.begin());
+    }
+    m_candidates.push_back({peer, revision});
+    if (!m_pullPeer) {
+        pullNext(now, actions);
+    }
+}
+
+void ConfigController::pullNext(Milliseconds now, ControlActions &actions)
+{
+    m_pullPeer.reset();
+    if (m_candidates.empty()) {
+        return;
+    }
+    const auto best = std::max_element(
+            m_candidates.begin(), m_candidates.end(),
+            [](const Candidate &a, const Candidate &b) { return a.revision <= b.revision; });
+    m_pullPeer = best->peer;
+    m_pullUntil = now + PullTimeout;
+    // A peer that does not answer is not asked again until its next announcement or probe.
+    m_candidates.erase(best);
+    const Revision have = m_needsFull ? Revision{} : m_document.revision;
+    actions.emplace_back(makeRequest(*m_pullPeer, ConfigPull{have}));
+}
+
+ConfigDelta ConfigController::answer(const ConfigPull &pull) const
+{
+    ConfigDelta delta;
+    delta.revision = m_document.revision;
+    delta.base = pull.have;
+    delta.change = m_document.change;
+    delta.contentHash = m_document.contentHash();
+    if (pull.have >= m_document.revision) {
+        return delta;
+    }
+    const bool isFull = pull.have == Revision{} || pull.have < m_deltaBase;
+    if (isFull) {
+        delta.base = Revision{};
+        for (const auto &[name, text] : m_document.sections) {
+            delta.changed.push_back({name, text});
+        }
+        return delta;
+    }
+    for (const auto &[name, revision] : m_changedAt) {
+        if (revision > pull.have) {
+            delta.changed.push_back({name, m_document.sections.at(name)});
+        }
+    }
+    for (const auto &[name, revision] : m_removedAt) {
+        if (revision > pull.have) {
+            delta.removed.push_back(name);
+        }
+    }
+    return delta;
+}
+
+void ConfigController::handleDelta(Endpoint peer, const ConfigDelta &delta, Milliseconds now,
+                                   ControlActions &actions)
+{
+    if (m_pullPeer != peer) {
+        return;
+    }
+    m_pullPeer.reset();
+    if (delta.revision < m_document.revision) {
+        m_hooks.countEvent(ControlEvent::LowerRevisionIgnored);
+    } else if (delta.revision > m_document.revision && !applyDelta(delta) && !m_needsFull) {
+        // The peer's history differs from the own one: take its whole document.
+        m_needsFull = true;
+        m_candidates.push_back({peer, delta.revision});
+        pullNext(now, actions);
+        return;
+    }
+    m_needsFull = false;
+    pullNext(now, actions);
+}
+
+bool ConfigController::applyDelta(const ConfigDelta &delta)
+{
+    const bool isFull = delta.base == Revision{};
+    if (!isFull && delta.base != m_document.revision) {
+        return false;
+    }
+    ConfigDocument next;
+    next.revision = delta.revision;
+    next.change = delta.change;
+    if (!isFull) {
+        next.sections = m_document.sections;
+    }
+    for (const std::string &name : delta.removed) {
+        next.sections.erase(name);
+    }
+    for (const ConfigSection &section : delta.changed) {
+        next.sections[section.name] = section.text;
+    }
+    return next.contentHash() == delta.contentHash && apply(std::move(next));
+}
+
+void ConfigController::handleFailure(Endpoint peer, Milliseconds now, ControlActions &actions)
+{
+    if (m_pullPeer == peer) {
+        pullNext(now, actions);
+    }
+}
+
+void ConfigController::tick(Milliseconds now, ControlActions &actions)
+{
+    if (m_pullPeer && now >= m_pullUntil) {
+        pullNext(now, actions);
+    }
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/control/controlhooks.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/random.h"
+#include "core/reasons.h"
+
+#include <cstdint>
+#include <functional>
+
+namespace damaskhall {
+
+/// Occurrences of the control plane that are counted.
+enum class ControlEvent : std::uint8_t {
+    /// A source offered a revision below the one in force.
+    LowerRevisionIgnored,
+    /// A declaration could not be read; the one in force stays.
+    DeclarationRejected,
+    DeclarationApplied,
+    /// A datagram or stream message was malformed, oversized or foreign.
+    MessageRefused,
+    /// A message of another protocol version was refused.
+    VersionRefused,
+    MemberSuspected,
+    MemberDied,
+    /// Another process runs under the own instance id.
+    InstanceIdTaken,
+};
+inline constexpr int ControlEventCount = 8;
+
+/// What the control plane needs from outside. Called on the thread that calls the control plane;
+/// all hooks must be set.
+struct ControlHooks
+{
+    RandomSource random;
+    std::function<void(RetryReason)> countRetry;
+    std::function<void(ControlEvent)> countEvent;
+};
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/control/platformschedule.cpp
@@ -0,0 +1,84 @@
+#include "core/control/platformschedule.h"
+
+#include <algorithm>
+
+namespace damaskhall {
+
+namespace {
+
+constexpr Milliseconds MinListInterval = 500_ms;
+/// A reader spends at most a fixed share of its time on lists, however long they are.
+constexpr std::int64_t ListedPerMillisecond = 4;
+constexpr Milliseconds MinRegistrationInterval = 1_s;
+/// Keeps the writes of one data centre at 20 a second, whatever its size.
+constexpr Milliseconds RegistrationIntervalPerMember = 50_ms;
+constexpr Milliseconds MinBackOff = 200_ms;
+constexpr std::uint32_t MaxBackOffDoublings = 4;
+
+} // namespace
+
+PlatformSchedule::PlatformSchedule(const ControlHooks &hooks)
+    : m_hooks(hooks)
+{
+}
+
+bool PlatformSchedule::start(Call call, Milliseconds now)
+{
+    State &call_ = state(call);
+    if (call_.isPending || now < call_.due) {
+        return false;
+    }
+    call_.isPending = true;
+    call_.lastStart = now;
+    if (call_.failures > 0) {
+        m_hooks.countRetry(RetryReason::PlatformRetry);
+    }
+    return true;
+}
+
+void PlatformSchedule::tick(const Situation &situation, Milliseconds now, ControlActions &actions)
+{
+    const bool mustRead = situation.isReader || !situation.isBootstrapped;
+    if (mustRead && start(Call::Declaration, now)) {
+        actions.emplace_back(ReadDeclaration{m_version, m_mayWatch});
+    }
+    if (mustRead && start(Call::Instances, now)) {
+        actions.emplace_back(ReadInstances{});
+        const auto listed = static_cast<std::int64_t>(situation.listed);
+        state(Call::Instances).due =
+                now + std::max(MinListInterval, Milliseconds{listed / ListedPerMillisecond});
+    }
+    if (start(Call::Registration, now)) {
+        actions.emplace_back(RegisterSelf{situation.isLeaving});
+        const auto members = static_cast<std::int64_t>(situation.members);
+        state(Call::Registration).due =
+                now + std::max(MinRegistrationInterval, RegistrationIntervalPerMember * members);
+    }
+}
+
+void PlatformSchedule::handleSuccess(Call call, Milliseconds now)
+{
+    State &done = state(call);
+    done.isPending = false;
+    done.failures = 0;
+    if (call == Call::Declaration) {
+        m_mayWatch = true;
+        done.due = now;
+    }
+}
+
+void PlatformSchedule::handleFailure(Call call, Milliseconds now)
+{
+    State &failed = state(call);
+    failed.isPending = false;
+    const std::uint32_t doublings = std::min(failed.failures, MaxBackOffDoublings);
+    ++failed.failures;
+    const Milliseconds limit = MinBackOff * (std::int64_t{1} << doublings);
+    const auto jitter = randomBelow(m_hooks.random, static_cast<std::uint64_t>(limit.value) + 1);
+    failed.due = now + limit + Milliseconds{static_cast<std::int64_t>(jitter)};
+    if (call == Call::Declaration) {
+        m_mayWatch = false;
+    }
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/control/upstreamcontroller.cpp
@@ -0,0 +1,176 @@
+#include "core/control/upstreamcontroller.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <xxhash.h>
+
+namespace damaskhall {
+
+namespace {
+
+/// Long enough for an upstream that lost its platform for a minute to stay in the directory.
+constexpr Milliseconds RemoveAfterAbsent = 120_s;
+/// Longest time that the gap between two lists counts as absence. A longer gap is an outage, and
+/// the first list after one may be incomplete.
+constexpr Milliseconds MaxListGap = 10_s;
+constexpr Milliseconds RemovedRetention = 6_s * 3600;
+
+std::uint64_t entryHash(const UpstreamUpdate &update)
+{
+    if (!update.isPresent()) {
+        return 0;
+    }
+    const std::array<std::uint64_t, 2> words = {update.id.value,
+                                                static_cast<std::uint64_t>(update.isLeaving)};
+    return XXH64(words.data(), sizeof(words), 2);
+}
+
+} // namespace
+
+void UpstreamController::merge(const UpstreamUpdate &update, Milliseconds now, std::uint32_t sends)
+{
+    const auto found = m_entries.find(update.id);
+    if (found == m_entries.end()) {
+        if (update.isPresent() && isTakenOver(update)) {
+            return;
+        }
+        Entry &entry = m_entries[update.id];
+        entry.report.presence = 1;
+        change(entry, update, now, sends);
+        dropPredecessorAt(update, now, sends);
+        return;
+    }
+    UpstreamUpdate merged = found->second.report;
+    merged.isLeaving = merged.isLeaving || update.isLeaving;
+    merged.presence = std::max(merged.presence, update.presence);
+    if (merged == found->second.report || (merged.isPresent() && isTakenOver(merged))) {
+        return;
+    }
+    change(found->second, merged, now, sends);
+    dropPredecessorAt(merged, now, sends);
+}
+
+// Ids are given in rising order: at one endpoint the higher id is the newer upstream.
+bool UpstreamController::isTakenOver(const UpstreamUpdate &report) const
+{
+    const auto holder = m_byEndpoint.find(report.endpoint);
+    return holder != m_byEndpoint.end() && holder->second > report.id;
+}
+
+void UpstreamController::dropPredecessorAt(const UpstreamUpdate &report, Milliseconds now,
+                                           std::uint32_t sends)
+{
+    if (!report.isPresent()) {
+        return;
+    }
+    for (auto &[id, entry] : m_entries) {
+        if (id < report.id && entry.report.endpoint == report.endpoint &&
+            entry.report.isPresent()) {
+            remove(entry, now, sends);
+        }
+    }
+    m_byEndpoint[report.endpoint] = report.id;
+}
+
+void UpstreamController::change(Entry &entry, const UpstreamUpdate &report, Milliseconds now,
+                                std::uint32_t sends)
+{
+    ++m_version;
+    m_digest ^= entryHash(entry.report) ^ entryHash(report);
+    entry.report = report;
+    if (report.isPresent()) {
+        m_byEndpoint.try_emplace(report.endpoint, report.id);
+    } else {
+        entry.removedAt = now;
+        const auto holder = m_byEndpoint.find(report.endpoint);
+        if (holder != m_byEndpoint.end() && holder->second == report.id) {
+            m_byEndpoint.erase(holder);
+        }
+    }
+    m_updates.push(report, sends);
+}
+
+void UpstreamController::remove(Entry &entry, Milliseconds now, std::uint32_t sends)
+{
+    UpstreamUpdate removed = entry.report;
+    ++removed.presence;
+    change(entry, removed, now, sends);
+}
+
+void UpstreamController::handleList(const std::vector<UpstreamUpdate> &listed, Milliseconds now,
+                                    std::uint32_t sends)
+{
+    const bool isFirst = m_lastList < 0_ms;
+    const Milliseconds gap = isFirst || now - m_lastList > MaxListGap ? 0_ms : now - m_lastList;
+    m_lastList = now;
+    std::set<UpstreamId> present;
+    for (const UpstreamUpdate &report : listed) {
+        present.insert(report.id);
+        const auto found = m_entries.find(report.id);
+        if (found == m_entries.end()) {
+            merge(report, now, sends);
+            continue;
+        }
+        found->second.absent = 0_ms;
+        UpstreamUpdate seen = found->second.report;
+        seen.isLeaving = seen.isLeaving || report.isLeaving;
+        seen.presence += seen.isPresent() ? 0 : 1;
+        merge(seen, now, sends);
+    }
+    for (auto &[id, entry] : m_entries) {
+        if (!entry.report.isPresent() || present.contains(id)) {
+            continue;
+        }
+        entry.absent += gap;
+        if (entry.absent >= RemoveAfterAbsent) {
+            remove(entry, now, sends);
+        }
+    }
+}
+
+void UpstreamController::reportLeaving(UpstreamId id, Milliseconds now, std::uint32_t sends)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || found->second.report.isLeaving) {
+        return;
+    }
+    UpstreamUpdate report = found->second.report;
+    report.isLeaving = true;
+    change(found->second, report, now, sends);
+}
+
+void UpstreamController::expire(Milliseconds now)
+{
+    std::erase_if(m_entries, [now](const auto &item) {
+        const Entry &entry = item.second;
+        return !entry.report.isPresent() && now - entry.removedAt > RemovedRetention;
+    });
+}
+
+std::unordered_map<UpstreamId, UpstreamView> UpstreamController::views() const
+{
+    std::unordered_map<UpstreamId, UpstreamView> views;
+    views.reserve(m_entries.size());
+    for (const auto &[id, entry] : m_entries) {
+        const UpstreamUpdate &report = entry.report;
+        if (report.isPresent()) {
+            const UpstreamState state =
+                    report.isLeaving ? UpstreamState::Leaving : UpstreamState::Live;
+            views[id] = {id, report.endpoint, report.service, state};
+        }
+    }
+    return views;
+}
+
+std::vector<UpstreamUpdate> UpstreamController::snapshot() const
+{
+    std::vector<UpstreamUpdate> reports;
+    reports.reserve(m_entries.size());
+    for (const auto &[id, entry] : m_entries) {
+        reports.push_back(entry.report);
+    }
+    return reports;
+}
+
+} // namespace damaskhall
--- a/src/node/controlworker.cpp
+++ b/src/node/controlworker.cpp
@@ -1,11 +1,16 @@
 #include "node/controlworker.h"
 
-#include "config/declarationparser.h"
+#include "core/control/controlplane.h"
+#include "node/peerlinks.h"
+#include "node/udpport.h"
+#include "wire/controlcodec.h"
 
-#include <atomic>
-#include <condition_variable>
+#include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <limits>
 #include <mutex>
-#include <nlohmann/json.hpp>
+#include <random>
 #include <thread>
 #include <utility>
 
@@ -13,41 +18,215 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds PollInterval{250};
+constexpr std::chrono::milliseconds TickInterval{50};
 constexpr Milliseconds PlatformTimeout = 1_s;
+/// A watch cannot be interrupted; this and PlatformTimeout bound the time that stop() takes.
+constexpr Milliseconds WatchTime = 1_s;
 constexpr const char *DeclarationKey = "declaration";
 
+DataCentreId dataCentreId(const std::string &name)
+{
+    return DataCentreId{serviceId(name).value};
+}
+
+RandomSource systemRandom()
+{
+    std::random_device device;
+    const std::uint64_t seed = std::uint64_t{device()} << 32 | device();
+    return seededRandom(seed);
+}
+
+ControlHooks completed(ControlHooks hooks)
+{
+    if (!hooks.random) {
+        hooks.random = systemRandom();
+    }
+    if (!hooks.countRetry) {
+        hooks.countRetry = [](RetryReason) {};
+    }
+    if (!hooks.countEvent) {
+        hooks.countEvent = [](ControlEvent) {};
+    }
+    return hooks;
+}
+
+ControlOptions completed(ControlOptions options)
+{
+    if (options.controlListen.isNull()) {
+        options.controlListen = defaultControlEndpoint(options.listen);
+    }
+    return options;
+}
+
+ControlPlaneOptions planeOptions(const ControlOptions &options)
+{
+    ControlPlaneOptions plane;
+    plane.self = {options.self,       options.incarnation, 0,
+                  MemberState::Alive, options.listen,      options.controlListen};
+    plane.dataCentre = dataCentreId(options.dataCentre);
+    plane.seeds = options.seeds;
+    plane.remotePeers = options.remotePeers;
+    return plane;
+}
+
+/// Thread that makes blocking platform calls one after the other.
+class PlatformThread
+{
+public:
+    explicit PlatformThread(Endpoint platform)
+        : m_client(platform, PlatformTimeout)
+        , m_work(asio::make_work_guard(m_context))
+    {
+    }
+
+    ~PlatformThread() { stop(); }
+    PlatformThread(const PlatformThread &) = delete;
+    PlatformThread &operator=(const PlatformThread &) = delete;
+
+    void start()
+    {
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    void stop()
+    {
+        m_context.stop();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+    template <typename Call>
+    void post(Call call)
+    {
+        asio::post(m_context, [this, call = std::move(call)] { call(m_client); });
+    }
+
+private:
+    PlatformClient m_client;
+    asio::io_context m_context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    std::thread m_thread;
+};
+
 } // namespace
 
+Endpoint defaultControlEndpoint(Endpoint traffic)
+{
+    const int port = int{traffic.port} + ControlPortOffset;
+    const bool fits = port <= std::numeric_limits<std::uint16_t>::max();
+    // Ports at the upper end get their control port below.
+    const int chosen = fits ? port : int{traffic.port} - ControlPortOffset;
+    return {traffic.address, static_cast<std::uint16_t>(chosen)};
+}
+
 struct ControlWorker::Private
 {
-    Private(const ControlOptions &controlOptions, Publisher publisher)
-        : options(controlOptions)
+    Private(const ControlOptions &controlOptions, Publisher publisher, const ControlHooks &counters)
+        : options(completed(controlOptions))
+        , hooks(completed(counters))
         , publish(std::move(publisher))
-        , platform(controlOptions.platform, PlatformTimeout)
+        , plane(planeOptions(options), hooks)
+        , timer(context)
+        , watchThread(options.platform)
+        , callThread(options.platform)
+        , published(plane.view())
     {
     }
 
+    Result<void> open()
+    {
+        const auto receiver = [this](std::string_view bytes, Endpoint from) {
+            receive(bytes, from);
+        };
+        BOOST_OUTCOME_TRY(udp, UdpPort::open(context, options.controlListen, receiver));
+        port = std::move(udp);
+        PeerLinks::Hooks linkHooks;
+        linkHooks.answer = [this](const StreamMessage &request) {
+            return plane.answerRequest(request);
+        };
+        linkHooks.handleReply = [this](Endpoint peer, const StreamMessage &reply) {
+            plane.handleReply(peer, reply, clock.now(), actions);
+            perform();
+        };
+        linkHooks.handleFailure = [this](Endpoint peer) {
+            plane.handleRequestFailure(peer, clock.now(), actions);
+            perform();
+        };
+        BOOST_OUTCOME_TRY(tcp, PeerLinks::open(context, options.controlListen, options.self,
+                                               linkHooks, hooks));
+        links = std::move(tcp);
+        return success();
+    }
+
     void run()
     {
-        while (!isStopping) {
-            poll();
-            std::unique_lock lock(mutex);
-            wake.wait_for(lock, PollInterval, [this] { return isStopping.load(); });
+        tick();
+        context.run();
+    }
+
+    void tick()
+    {
+        plane.tick(clock.now(), actions);
+        perform();
+        timer.expires_after(TickInterval);
+        timer.async_wait([this](const std::error_code &error) {
+            if (!error) {
+                tick();
+            }
+        });
+    }
+
+    void receive(std::string_view bytes, Endpoint from)
+    {
+        const auto datagram = decodeControlDatagram(bytes);
+        if (!datagram) {
+            const bool isVersion = datagram.assume_error().code == ErrorCode::VersionMismatch;
+            hooks.countEvent(isVersion ? ControlEvent::VersionRefused
+                                       : ControlEvent::MessageRefused);
+            return;
         }
+        plane.handleDatagram(datagram.assume_value(), from, clock.now(), actions);
+        perform();
     }
 
-    void poll()
+    // Performing an action may post results, but never appends actions directly.
+    void perform()
     {
-        registerSelf();
-        readDeclaration();
-        const auto instances = platform.instances();
-        if (instances) {
-            publish(buildView(instances.assume_value()));
+        const ControlActions taken = std::exchange(actions, {});
+        for (const ControlAction &action : taken) {
+            std::visit([this](const auto &step) { perform(step); }, action);
         }
     }
 
-    void registerSelf()
+    void perform(const SendDatagram &send)
+    {
+        port->send(encodeControlDatagram(send.datagram), send.to);
+    }
+
+    void perform(const SendRequest &send)
+    {
+        asio::post(context, [this, send] { links->request(send.to, send.request); });
+    }
+
+    void perform(const ReadDeclaration &read)
+    {
+        watchThread.post([this, read](PlatformClient &client) {
+            auto value = read.wait ? client.watch(DeclarationKey, read.after, WatchTime)
+                                   : client.read(DeclarationKey);
+            asio::post(context, [this, value = std::move(value)] { handleDeclaration(value); });
+        });
+    }
+
+    void perform(const ReadInstances &)
+    {
+        callThread.post([this](PlatformClient &client) {
+            auto list = client.instances();
+            asio::post(context, [this, list = std::move(list)] { handleInstances(list); });
+        });
+    }
+
+    void perform(const RegisterSelf &registration)
     {
         PlatformInstance self;
         self.id = options.self.value;
@@ -55,65 +234,90 @@
         self.endpoint = options.listen;
         self.dataCentre = options.dataCentre;
         self.incarnation = options.incarnation.value;
-        self.isLeaving = isLeaving;
-        // A failed registration is repeated with the next poll.
-        static_cast<void>(platform.registerInstance(self));
+        self.isLeaving = registration.isLeaving;
+        callThread.post([this, self](PlatformClient &client) {
+            const bool isDone = client.registerInstance(self).has_value();
+            asio::post(context, [this, isDone] { handleRegistration(isDone); });
+        });
     }
 
-    void readDeclaration()
+    void perform(const PublishView &)
     {
-        const auto value = platform.read(DeclarationKey);
-        if (!value || value.assume_value().version == 0) {
-            return;
+        auto view = plane.view();
+        {
+            const std::lock_guard lock(viewMutex);
+            published = view;
         }
-        const auto json = nlohmann::json::parse(value.assume_value().value, nullptr, false);
-        if (!json.is_object() || json.value("revision", 0U) <= declaration->revision.value) {
+        publish(std::move(view));
+    }
+
+    void handleDeclaration(const Result<PlatformValue> &value)
+    {
+        if (!value) {
+            plane.handlePlatformFailure(PlatformSchedule::Call::Declaration, clock.now());
             return;
         }
-        auto parsed = parseDeclaration(json.value("declaration", ""), DeclarationKey);
-        if (parsed) {
-            parsed.assume_value().revision = Revision{json.value("revision", 0U)};
-            declaration = std::make_shared<const Declaration>(std::move(parsed.assume_value()));
-        }
+        plane.handleDeclaration(value.assume_value().value, value.assume_value().version,
+                                clock.now(), actions);
+        perform();
     }
 
-    std::shared_ptr<const RoutingView> buildView(const std::vector<PlatformInstance> &instances)
+    void handleInstances(const Result<std::vector<PlatformInstance>> &list)
     {
-        auto view = std::make_shared<RoutingView>();
-        view->self = options.self;
-        view->declaration = declaration;
-        for (const PlatformInstance &instance : instances) {
+        if (!list) {
+            plane.handlePlatformFailure(PlatformSchedule::Call::Instances, clock.now());
+            return;
+        }
+        std::vector<ListedBalancer> balancers;
+        std::vector<UpstreamUpdate> upstreams;
+        for (const PlatformInstance &instance : list.assume_value()) {
             if (instance.dataCentre != options.dataCentre) {
                 continue;
             }
             if (instance.role == "balancer") {
-                view->members.push_back(
-                        {InstanceId{static_cast<std::uint32_t>(instance.id)}, instance.endpoint,
-                         Incarnation{instance.incarnation},
-                         instance.isLeaving ? MemberState::Leaving : MemberState::Alive});
-            } else {
-                const UpstreamId id{instance.id};
-                view->upstreams[id] = {id, instance.endpoint, serviceId(instance.service),
-                                       instance.isLeaving ? UpstreamState::Leaving
-                                                          : UpstreamState::Live};
+                balancers.push_back({InstanceId{static_cast<std::uint32_t>(instance.id)},
+                                     Incarnation{instance.incarnation}, instance.endpoint,
+                                     defaultControlEndpoint(instance.endpoint),
+                                     instance.isLeaving});
+            } else if (instance.role == "upstream") {
+                upstreams.push_back({UpstreamId{instance.id}, instance.endpoint,
+                                     serviceId(instance.service), instance.isLeaving, 0});
             }
         }
-        return view;
+        plane.handleInstances(balancers, upstreams, list.assume_value().size(), clock.now(),
+                              actions);
+        perform();
+    }
+
+    void handleRegistration(bool isDone)
+    {
+        if (isDone) {
+            plane.handleRegistered(clock.now());
+        } else {
+            plane.handlePlatformFailure(PlatformSchedule::Call::Registration, clock.now());
+        }
     }
 
     ControlOptions options;
+    ControlHooks hooks;
     Publisher publish;
-    PlatformClient platform;
-    std::shared_ptr<const Declaration> declaration = std::make_shared<const Declaration>();
-    std::atomic<bool> isLeaving = false;
-    std::atomic<bool> isStopping = false;
-    std::mutex mutex;
-    std::condition_variable wake;
+    Clock clock;
+    ControlPlane plane;
+    ControlActions actions;
+    asio::io_context context{1};
+    asio::steady_timer timer;
+    std::unique_ptr<UdpPort> port;
+    std::unique_ptr<PeerLinks> links;
+    // A watch waits for up to WatchTime; other calls must not wait behind it.
+    PlatformThread watchThread;
+    PlatformThread callThread;
     std::thread thread;
+    mutable std::mutex viewMutex;
+    std::shared_ptr<const RoutingView> published;
 };
 
-ControlWorker::ControlWorker(const ControlOptions &options, Publisher publish)
-    : m_d(std::make_unique<Private>(options, std::move(publish)))
+ControlWorker::ControlWorker(const ControlOptions &options, Publisher publish, ControlHooks hooks)
+    : m_d(std::make_unique<Private>(options, std::move(publish), hooks))
 {
 }
 
@@ -122,20 +326,42 @@
     stop();
 }
 
-void ControlWorker::start()
+Result<void> ControlWorker::start()
 {
+    BOOST_OUTCOME_TRYV(m_d->open());
+    m_d->watchThread.start();
+    m_d->callThread.start();
     m_d->thread = std::thread([d = m_d.get()] { d->run(); });
+    return success();
 }
 
 void ControlWorker::beginLeaving()
 {
-    m_d->isLeaving = true;
+    asio::post(m_d->context, [d = m_d.get()] {
+        d->plane.beginLeaving(d->clock.now(), d->actions);
+        d->perform();
+    });
+}
+
+void ControlWorker::reportLeaving(UpstreamId upstream)
+{
+    asio::post(m_d->context, [d = m_d.get(), upstream] {
+        d->plane.reportLeaving(upstream, d->clock.now(), d->actions);
+        d->perform();
+    });
+}
+
+std::shared_ptr<const RoutingView> ControlWorker::view() const
+{
+    const std::lock_guard lock(m_d->viewMutex);
+    return m_d->published;
 }
 
 void ControlWorker::stop()
 {
-    m_d->isStopping = true;
-    m_d->wake.notify_all();
+    m_d->watchThread.stop();
+    m_d->callThread.stop();
+    m_d->context.stop();
     if (m_d->thread.joinable()) {
         m_d->thread.join();
     }
--- a/src/node/controlworker.h
+++ b/src/node/controlworker.h
@@ -1,15 +1,25 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/result.h"
+#include "core/control/controlhooks.h"
 #include "core/routingview.h"
 #include "platform/platformclient.h"
 
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace damaskhall {
 
+/// Distance of the default control port from the traffic port.
+inline constexpr std::uint16_t ControlPortOffset = 1000;
+
+/// Returns the control endpoint that belongs to @p traffic unless settings say otherwise.
+/// Thread safety: reentrant.
+Endpoint defaultControlEndpoint(Endpoint traffic);
+
 /// Settings of the control thread.
 struct ControlOptions
 {
@@ -18,25 +28,39 @@
     Endpoint listen;
     std::string dataCentre;
     Endpoint platform;
+    /// Control socket (UDP and TCP); null: defaultControlEndpoint(listen). Peers that know this
+    /// instance only from the platform's list expect the default.
+    Endpoint controlListen = {};
+    /// Control endpoints of members to ask first, also during an outage of the platform.
+    std::vector<Endpoint> seeds = {};
+    /// Control endpoints of balancers in other data centres.
+    std::vector<Endpoint> remotePeers = {};
 };
 
-/// Control thread: reads the platform and publishes routing views.
-/// Thread safety: public methods may be called from any thread.
+/// Control thread: membership, configuration and upstream directory; publishes routing views.
+/// Starts during an outage of the platform if a seed answers.
+/// Thread safety: public methods may be called from any thread, start() and stop() from one.
 class ControlWorker
 {
 public:
     using Publisher = std::function<void(std::shared_ptr<const RoutingView>)>;
 
-    /// Precondition: @p publish is set; it is called on the control thread.
-    ControlWorker(const ControlOptions &options, Publisher publish);
+    /// Preconditions: @p publish is set; it and the hooks are called on the control thread. Hooks
+    /// that are not set are replaced: no counting, random numbers from the system.
+    ControlWorker(const ControlOptions &options, Publisher publish, ControlHooks hooks = {});
     ~ControlWorker();
     ControlWorker(const ControlWorker &) = delete;
     ControlWorker &operator=(const ControlWorker &) = delete;
 
-    void start();
-    /// Marks the own instance as leaving.
+    /// Opens the control sockets and starts the threads. Errors: System with Step::OpenSocket.
+    Result<void> start();
+    /// Announces that the own instance is leaving.
     void beginLeaving();
-    /// Ends the thread and waits for it.
+    /// Spreads a sign that an upstream is leaving.
+    void reportLeaving(UpstreamId upstream);
+    /// Returns the last published view; never null.
+    std::shared_ptr<const RoutingView> view() const;
+    /// Ends the threads and waits for them, at most for the platform call under way (2 s).
     void stop();
 
 private:
--- a/src/wire/streamframing.h
+++ b/src/wire/streamframing.h
@@ -19,6 +19,9 @@
     /// Messages longer than @p maxMessageBytes are refused.
     explicit StreamReader(std::size_t maxMessageBytes);
 
+    /// Changes the limit for messages that follow.
+    void setMaxMessageBytes(std::size_t bytes) { m_maxMessageBytes = bytes; }
+
     void append(std::string_view bytes);
 
     /// Returns the next message, or nothing if it is not complete. Errors: Oversized; the stream
