Measure imbalance and claim p99 on the real core

Cause: the rows imbalance and claim_p99_ratio need the real Router and clients, and the same work per claim as the ideal queue. Frames on TCP connections are delayed instead of lost and keep their order. Last new work counts refused requests too, as they reached the upstream.

--- a/fakes/fakeupstream.h
+++ b/fakes/fakeupstream.h
@@ -21,6 +21,13 @@
     double meanServiceMs = 40;
     /// Requests that wait for a slot before further ones are shed.
     std::uint32_t queueLimit = 0;
+    /// Returns the work of a request in units of meanServiceMs; drawn at random if empty. Lets an
+    /// experiment give the same work to another system.
+    std::function<double(const std::string &body)> workOf = {};
+    /// Share of requests that are shed although a slot is free, 0 to 1.
+    double randomSheds = 0;
+    /// Probe replies say nothing about draining and report no load.
+    bool hasMisleadingProbes = false;
 };
 
 /// Upstream model: runs every request packet while a slot is free, sheds the rest, repeats replies
@@ -49,8 +56,12 @@
     Milliseconds busyTime() const { return m_busyTime; }
     /// Runs by request body.
     const std::map<std::string, int> &runs() const { return m_runs; }
+    /// Time of the last completed run by request body.
+    const std::map<std::string, Milliseconds> &completions() const { return m_completions; }
+    /// Request packets received, including those that were refused.
+    std::uint64_t tries() const { return m_tries; }
     std::size_t feedCount() const { return m_feeds.size(); }
-    /// Time at which the last new request, feed or upload arrived.
+    /// Time at which the last new request, feed or upload arrived, even if it was refused.
     Milliseconds lastNewWork() const { return m_lastNewWork; }
     /// Uploads that are stored, by token.
     const std::map<SealedToken, bool> &uploads() const { return m_stored; }
@@ -78,7 +89,8 @@
 
     void handleRequest(const UpstreamRequest &request, Endpoint from);
     void run(const UpstreamRequest &request, Endpoint owner);
-    void finish(AttemptId attempt, const Reply &reply);
+    double workOf(const std::string &body);
+    void finish(AttemptId attempt, const std::string &body, Endpoint owner);
     void sendReply(AttemptId attempt, int sendsLeft);
     void checkService(ServiceId service);
 
@@ -93,7 +105,9 @@
     Milliseconds m_busyTime;
     Milliseconds m_lastNewWork;
     std::uint64_t m_wrongService = 0;
+    std::uint64_t m_tries = 0;
     std::map<std::string, int> m_runs;
+    std::map<std::string, Milliseconds> m_completions;
     std::map<AttemptId, Reply> m_replies;
     std::map<SealedToken, Feed> m_feeds;
     std::map<SealedToken, std::uint64_t> m_received;
--- a/fakes/session.h
+++ b/fakes/session.h
@@ -14,7 +14,9 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace damaskhall::fakes {
@@ -25,7 +27,8 @@
     std::uint32_t balancers = 2;
     Milliseconds callerLatency = 1_ms;
     Milliseconds innerLatency = 1_ms;
-    /// Shares of packets that are lost or delivered twice, 0 to 1.
+    /// Shares of datagrams that are lost or delivered twice, 0 to 1. On a connection a loss delays
+    /// the frame.
     double loss = 0;
     double duplication = 0;
     /// Extra delay of up to this many milliseconds per packet; reorders packets.
@@ -58,12 +61,19 @@
     void beginLeaving(std::uint32_t index);
     /// Marks an upstream as leaving in the lists and at the upstream itself.
     void drainUpstream(UpstreamId id);
+    /// Drains an upstream of which the lists know nothing until a balancer reports a sign.
+    void drainUpstreamUnlisted(UpstreamId id);
     void killUpstream(UpstreamId id);
     void setDeclaration(const Declaration &declaration);
 
     // Callers. Returned references stay valid.
     RequestClient &startRequest(const Reserve &reservation, const std::string &body);
     FeedClient &startFeed(const Open &open);
+    /// Sets a hook that is called once for each request that is finished, at that time.
+    void setFinishedHook(std::function<void(const RequestClient &)> hook)
+    {
+        m_finishedHook = std::move(hook);
+    }
     /// Sends a frame from a caller's endpoint to the balancer @p index, or to a random one if it
     /// is negative.
     void inject(const Frame &frame, Endpoint caller, int index = -1);
@@ -83,6 +93,7 @@
     const std::list<FeedClient> &feeds() const { return m_feeds; }
     const std::map<RefusalReason, std::uint64_t> &refusals() const { return m_refusals; }
     const std::map<RetryReason, std::uint64_t> &retries() const { return m_retries; }
+    const std::map<CoreEvent, std::uint64_t> &coreEvents() const { return m_coreEvents; }
     /// Lines "time sender -> receiver: frame", if kept.
     const std::vector<std::string> &trace() const { return m_trace; }
     void note(const std::string &line);
@@ -109,6 +120,7 @@
     void publishView(std::uint32_t index);
     std::shared_ptr<const RoutingView> buildView(std::uint32_t index) const;
     void leaveFabricLater(std::uint32_t index);
+    void reportIfFinished(const RequestClient &client, bool wasFinished) const;
 
     void transmit(const std::string &sender, const std::string &receiver, Milliseconds latency,
                   const Frame &frame, const std::function<void(const Frame &)> &deliver);
@@ -138,6 +150,11 @@
     std::uint32_t m_nextCallerAddress = 0x0a000001;
     std::map<RefusalReason, std::uint64_t> m_refusals;
     std::map<RetryReason, std::uint64_t> m_retries;
+    std::map<CoreEvent, std::uint64_t> m_coreEvents;
+    std::set<UpstreamId> m_knownLeaving;
+    /// Time of the last delivery by sender and receiver of a connection.
+    std::map<std::pair<std::string, std::string>, Milliseconds> m_connections;
+    std::function<void(const RequestClient &)> m_finishedHook;
     std::vector<std::string> m_trace;
 };
 
--- a/measure/damaskhall-measure.cpp
+++ b/measure/damaskhall-measure.cpp
@@ -1,3 +1,4 @@
+#include "measure/loadrows.h"
 #include "measure/measurement.h"
 #include "measure/policytrials.h"
 #include "measure/report.h"
@@ -26,6 +27,7 @@
 {
     return {
             {"policies", measurePolicies},
+            {"load", measureLoad},
     };
 }
 
