Measure safety under random faults and unknown outcomes after one kill

Cause: doubled_requests, false_not_run, wrong_service_packets, answers_lost_or_crossed and unknown_ratio_one_kill had no run. Change: a fault injector (kills, restarts, freezes, planned stops, drains, upstream kills with address reuse by the other service), Poisson request streams with outcomes, and both experiments. The fake network delivers a datagram to whoever holds the address when it arrives.

--- a/fakes/fakeupstream.cpp
+++ b/fakes/fakeupstream.cpp
@@ -80,7 +80,7 @@
 
 void FakeUpstream::handleRequest(const UpstreamRequest &request, Endpoint from)
 {
-    ++m_tries;
+    ++m_tries[request.body];
     m_lastNewWork = m_events.now();
     if (m_isDraining) {
         m_reply(UpstreamReply{request.attempt, ReplyStatus::Draining, 0, 1, {}}, from);
--- a/fakes/fakeupstream.h
+++ b/fakes/fakeupstream.h
@@ -58,8 +58,8 @@
     const std::map<std::string, int> &runs() const { return m_runs; }
     /// Time of the last completed run by request body.
     const std::map<std::string, Milliseconds> &completions() const { return m_completions; }
-    /// Request packets received, including those that were refused.
-    std::uint64_t tries() const { return m_tries; }
+    /// Request packets received by request body, including those that were refused.
+    const std::map<std::string, int> &tries() const { return m_tries; }
     std::size_t feedCount() const { return m_feeds.size(); }
     /// Time at which the last new request, feed or upload arrived, even if it was refused.
     Milliseconds lastNewWork() const { return m_lastNewWork; }
@@ -105,7 +105,7 @@
     Milliseconds m_busyTime;
     Milliseconds m_lastNewWork;
     std::uint64_t m_wrongService = 0;
-    std::uint64_t m_tries = 0;
+    std::map<std::string, int> m_tries;
     std::map<std::string, int> m_runs;
     std::map<std::string, Milliseconds> m_completions;
     std::map<AttemptId, Reply> m_replies;
--- a/fakes/session.cpp
+++ b/fakes/session.cpp
@@ -133,7 +133,10 @@
     m_upstreams[options.id] = std::make_unique<FakeUpstream>(
             options, m_events, seededRandom(m_options.seed ^ options.id.value * 7919), reply,
             toFabric);
-    for (std::uint32_t i = 0; i < m_balancers.size(); ++i) {
+    if (m_events.now() > 0_ms) {
+        publishViews();
+    }
+    for (std::uint32_t i = 0; i < m_balancers.size() && m_events.now() == 0_ms; ++i) {
         publishView(i);
     }
     return *m_upstreams[options.id];
@@ -386,10 +389,16 @@
             if (id == m_upstreamByEndpoint.end()) {
                 continue;
             }
-            // The frame goes to whichever upstream has the address when it arrives.
+            // A datagram goes to whichever upstream has the address when it arrives, a frame on a
+            // connection only to the process that accepted the connection.
+            const bool isOnConnection = travelsOnConnection(action.frame);
             transmit(sender, upstreamName(id->second), m_options.innerLatency, action.frame,
-                     [this, to = action.to, self](const Frame &frame) {
-                         m_upstreams.at(m_upstreamByEndpoint.at(to))->handle(frame, self);
+                     [this, to = action.to, accepted = id->second, isOnConnection,
+                      self](const Frame &frame) {
+                         const UpstreamId holder = m_upstreamByEndpoint.at(to);
+                         if (!isOnConnection || holder == accepted) {
+                             m_upstreams.at(holder)->handle(frame, self);
+                         }
                      });
         } else {
             for (std::uint32_t peer = 0; peer < m_balancers.size(); ++peer) {
--- a/fakes/session.h
+++ b/fakes/session.h
@@ -52,6 +52,8 @@
     Session &operator=(const Session &) = delete;
 
     // Set-up and faults. Balancers are numbered from 0, upstreams by their id.
+    /// Adds an upstream; at the address of a dead one if @p options names it. Balancers see it at
+    /// once if the session has not started, else after the view lag.
     FakeUpstream &addUpstream(FakeUpstreamOptions options);
     void killBalancer(std::uint32_t index);
     /// Starts a new process with a higher incarnation at the same address.
@@ -83,6 +85,10 @@
     EventQueue &events() { return m_events; }
     RandomSource &random() { return m_random; }
     Router &router(std::uint32_t index) { return *m_balancers.at(index).router; }
+    std::uint32_t balancerCount() const { return static_cast<std::uint32_t>(m_balancers.size()); }
+    bool isRunning(std::uint32_t index) const { return m_balancers.at(index).isRunning; }
+    MemberState balancerState(std::uint32_t index) const { return m_balancers.at(index).state; }
+    Incarnation incarnation(std::uint32_t index) const { return m_balancers.at(index).incarnation; }
     const TokenSealer &sealer() const { return m_sealer; }
     FakeUpstream &upstream(UpstreamId id) { return *m_upstreams.at(id); }
     const std::map<UpstreamId, std::unique_ptr<FakeUpstream>> &upstreams() const
--- a/measure/damaskhall-measure.cpp
+++ b/measure/damaskhall-measure.cpp
@@ -1,3 +1,4 @@
+#include "measure/faultrows.h"
 #include "measure/loadrows.h"
 #include "measure/measurement.h"
 #include "measure/policytrials.h"
@@ -28,6 +29,8 @@
     return {
             {"policies", measurePolicies},
             {"load", measureLoad},
+            {"faults", measureRandomFaults},
+            {"onekill", measureOneKill},
     };
 }
 
--- a/measure/loadrows.cpp
+++ b/measure/loadrows.cpp
@@ -19,7 +19,7 @@
 {
     double imbalance = 0;
     double p99Ratio = 0;
-    double answered = 0;
+    double unanswered = 0;
     double triesPerClaim = 0;
 };
 
@@ -45,12 +45,12 @@
 
     // A claim without an answer counts with its whole deadline.
     std::vector<double> latencies;
-    std::size_t answered = 0;
+    std::size_t unanswered = 0;
     session.setFinishedHook([&](const RequestClient &client) {
         if (client.startedAt() >= warmUp) {
             const bool isAnswered = client.phase() == RequestPhase::Answered;
             const Milliseconds latency = session.events().now() - client.startedAt();
-            answered += isAnswered ? 1 : 0;
+            unanswered += isAnswered ? 0 : 1;
             latencies.push_back(
                     static_cast<double>(isAnswered ? latency.value : ClaimDeadline.value));
         }
@@ -75,13 +75,15 @@
 
     std::uint64_t tries = 0;
     for (const auto &[id, upstream] : session.upstreams()) {
-        tries += upstream->tries();
+        for (const auto &[body, count] : upstream->tries()) {
+            tries += static_cast<std::uint64_t>(count);
+        }
     }
     const TrialResult ideal = runIdealQueue(arrivals, static_cast<double>(warmUp.value),
                                             static_cast<double>(duration.value));
     const auto count = static_cast<double>(latencies.size());
     return {imbalance(busy), percentile(latencies, 0.99) / ideal.p99Ms,
-            static_cast<double>(answered) / count,
+            static_cast<double>(unanswered) / count,
             static_cast<double>(tries) / static_cast<double>(arrivals.size())};
 }
 
@@ -107,8 +109,8 @@
         }
         append(rows, summarise({"claim_p99_ratio." + load, "ratio", 1.25, Bound::AtMost},
                                column(results, &LoadResult::p99Ratio), inputs));
-        append(rows, summarise({"claims_answered." + load, "share"},
-                               column(results, &LoadResult::answered), inputs));
+        append(rows, summarise({"claims_unanswered." + load, "share"},
+                               column(results, &LoadResult::unanswered), inputs));
         append(rows, summarise({"tries_per_claim." + load, "ratio"},
                                column(results, &LoadResult::triesPerClaim), inputs));
     }
