Learn limits by latency as well and keep slots of abandoned attempts

Upstreams that queue inside got a limit of 6 and p99 was 1.5 times the ideal queue. At twice the capacity with a deadline of 2 s, the slot of a timed-out request was reused while the upstream still ran it; the sheds that followed held the limits at 1 and half of the capacity was lost.

Change: limits compare latency at the limit with latency at half of it, back off per level, and only proven levels count for the busy share. The slot of an abandoned attempt stays taken until its reply or its time-out. A cancel no longer redirects the answer.

--- a/src/core/dispatch/concurrencylimit.cpp
+++ b/src/core/dispatch/concurrencylimit.cpp
@@ -8,22 +8,67 @@
 
 constexpr std::uint32_t MaxLimit = 64;
 constexpr Milliseconds FirstBackOff = 1_s;
-/// Each trial of a level above the real capacity costs one shed request.
-constexpr Milliseconds MaxBackOff = 64_s;
+/// A trial above the real capacity costs a shed request, or some requests that wait.
+constexpr Milliseconds MaxBackOff = 120_s;
+/// A level that has worked for long fails for a passing reason, such as requests of another
+/// dispatcher, and is tried again soon.
+constexpr Milliseconds ProvenBackOff = 250_ms;
+constexpr std::uint32_t ProvenCompletions = 16;
 /// Timeouts of requests that were sent together count once.
 constexpr Milliseconds TimeoutInterval = 1_s;
-/// Samples for a comparison at limit 2. With exponential service times the means of 128 samples
-/// differ by 12% (one standard deviation), a quarter of the rise that queueing at level 2 causes.
-constexpr std::uint32_t SamplesAtTwo = 128;
+/// Older samples lose half of their weight beyond this number.
+constexpr std::uint32_t MaxSamples = 1'024;
+/// For exponential service times, the difference of two means of n samples has a standard
+/// deviation of sqrt(2 / n); this many samples, divided by the square of the difference looked
+/// for, make it three standard deviations.
+constexpr double SamplesForUnitDifference = 18;
+
+/// Part of the limit with which the latency at the limit is compared.
+std::uint32_t lowLevel(std::uint32_t limit)
+{
+    return (limit + 1) / 2;
+}
+
+/// Relative rise of latency that counts. If the low level already uses all slots, latency grows in
+/// proportion to the requests in flight, and otherwise it stays the same; this is halfway.
+double risingDifference(std::uint32_t limit)
+{
+    return (static_cast<double>(limit) / lowLevel(limit) - 1) / 2;
+}
+
+double samplesNeeded(std::uint32_t limit)
+{
+    const double difference = risingDifference(limit);
+    return SamplesForUnitDifference / (difference * difference);
+}
 
 } // namespace
 
+ConcurrencyLimit::ConcurrencyLimit()
+    : m_levels(2)
+{
+}
+
 void ConcurrencyLimit::onAnswer(std::uint32_t inFlight, Milliseconds latency, Milliseconds now)
 {
-    Mean &mean = inFlight >= m_limit ? m_atLimit : m_belowLimit;
-    ++mean.count;
-    mean.sum += static_cast<double>(latency.value);
-    judgeLatency(now);
+    Level &level = m_levels[std::clamp(inFlight, 1U, m_limit)];
+    if (level.samples == MaxSamples) {
+        level.samples /= 2;
+        level.latencySum /= 2;
+    }
+    ++level.samples;
+    level.latencySum += static_cast<double>(latency.value);
+    const Verdict verdict = judge();
+    if (verdict == Verdict::LatencyRises) {
+        m_levels[m_limit].completions = 0;
+        fail(m_limit, now);
+        lowerTo(m_limit - 1);
+        return;
+    }
+    if (verdict == Verdict::Good) {
+        m_levels[m_limit].backOff = 0_ms;
+        m_proven = m_limit;
+    }
     onCompletion(inFlight, now);
 }
 
@@ -32,19 +77,20 @@
     if (inFlight < m_limit) {
         return;
     }
-    ++m_fullAnswers;
-    if (m_fullAnswers < m_limit || now < m_nextGrowth || m_limit == MaxLimit) {
-        return;
+    Level &level = m_levels[m_limit];
+    ++level.completions;
+    // Twice the samples of a verdict without a failure, where the low level gets too few for one.
+    if (m_limit > 1 && level.completions >= 2 * samplesNeeded(m_limit)) {
+        m_proven = m_limit;
     }
-    ++m_limit;
-    m_fullAnswers = 0;
-    clearSamples();
+    grow(now);
 }
 
 void ConcurrencyLimit::onShed(std::uint32_t inFlight, Milliseconds now)
 {
-    const std::uint32_t accepted = std::max(inFlight, 2U) - 1;
-    lower(std::min(m_limit, accepted), inFlight, now);
+    const std::uint32_t level = std::clamp(inFlight, 1U, m_limit);
+    fail(level, now);
+    lowerTo(std::max(level, 2U) - 1);
 }
 
 void ConcurrencyLimit::onTimeout(Milliseconds now)
@@ -53,45 +99,72 @@
         return;
     }
     m_lastTimeout = now;
-    lower(std::max(m_limit, 2U) - 1, m_limit, now);
+    Level &level = m_levels[m_limit];
+    level.nextTry = now + TimeoutInterval;
+    lowerTo(std::max(m_limit, 2U) - 1);
 }
 
-void ConcurrencyLimit::judgeLatency(Milliseconds now)
+void ConcurrencyLimit::grow(Milliseconds now)
 {
-    if (m_limit < 2) {
+    const Level &level = m_levels[m_limit];
+    const bool isUsed = level.completions >= m_limit;
+    if (!isUsed || m_limit == MaxLimit || !isMeasured()) {
         return;
     }
-    // One request more than the upstream's n slots waits 1/n of a service time on average. The
-    // threshold is half of that; the samples needed grow with its inverse square.
-    const std::uint32_t below = m_limit - 1;
-    const std::uint32_t needed = SamplesAtTwo * below * below;
-    if (m_atLimit.count < needed || m_belowLimit.count < needed) {
-        return;
+    if (m_levels.size() <= m_limit + 1) {
+        m_levels.resize(m_limit + 2);
     }
-    const double threshold = 1 + 0.5 / below;
-    const bool hasRisen = m_atLimit.value() > m_belowLimit.value() * threshold;
-    if (hasRisen) {
-        lower(below, m_limit, now);
+    Level &next = m_levels[m_limit + 1];
+    if (now < next.nextTry) {
         return;
     }
-    clearSamples();
+    next.completions = 0;
+    m_proven = m_limit;
+    ++m_limit;
+}
+
+ConcurrencyLimit::Verdict ConcurrencyLimit::judge() const
+{
+    if (m_limit < 2) {
+        return Verdict::Open;
+    }
+    const Level &low = m_levels[lowLevel(m_limit)];
+    const Level &full = m_levels[m_limit];
+    const double needed = samplesNeeded(m_limit);
+    if (low.samples < needed || full.samples < needed) {
+        return Verdict::Open;
+    }
+    const double ratio = full.meanLatency() / low.meanLatency();
+    return ratio > 1 + risingDifference(m_limit) ? Verdict::LatencyRises : Verdict::Good;
+}
+
+bool ConcurrencyLimit::isMeasured() const
+{
+    // The second slot is tried at once, so that a new dispatcher soon has capacity again. Uploads
+    // leave no samples. Under a lasting overload the low level gets none, so the verdict may stay
+    // open; the samples of this level then serve the comparison at a higher one.
+    const Level &level = m_levels[m_limit];
+    if (m_limit == 1 || level.samples == 0) {
+        return true;
+    }
+    return level.samples >= std::max(samplesNeeded(m_limit), samplesNeeded(m_limit + 1));
 }
 
-void ConcurrencyLimit::lower(std::uint32_t limit, std::uint32_t failedLevel, Milliseconds now)
+void ConcurrencyLimit::fail(std::uint32_t failed, Milliseconds now)
 {
-    const bool isRepeated = failedLevel == m_failedLevel;
-    m_backOff = isRepeated ? std::min(m_backOff * 2, MaxBackOff) : FirstBackOff;
-    m_failedLevel = failedLevel;
-    m_nextGrowth = now + m_backOff;
-    m_limit = limit;
-    m_fullAnswers = 0;
-    clearSamples();
+    Level &level = m_levels[failed];
+    const bool isProven = level.completions >= ProvenCompletions;
+    const Milliseconds doubled = std::clamp(level.backOff * 2, FirstBackOff, MaxBackOff);
+    level.backOff = isProven ? ProvenBackOff : doubled;
+    level.nextTry = now + level.backOff;
+    level.samples = 0;
+    level.latencySum = 0;
 }
 
-void ConcurrencyLimit::clearSamples()
+void ConcurrencyLimit::lowerTo(std::uint32_t limit)
 {
-    m_atLimit = {};
-    m_belowLimit = {};
+    m_limit = std::min(m_limit, limit);
+    m_proven = std::min(m_proven, m_limit);
 }
 
 } // namespace damaskhall
--- a/src/core/dispatch/concurrencylimit.h
+++ b/src/core/dispatch/concurrencylimit.h
@@ -3,17 +3,22 @@
 #include "base/milliseconds.h"
 
 #include <cstdint>
+#include <vector>
 
 namespace damaskhall {
 
 /// Learned number of requests that an upstream runs at once. Starts at 1, grows while the limit is
-/// fully used without sheds or rising latency, and falls on a shed or timeout. A level that failed
-/// is tried again after a time that doubles at each failure of the same level.
+/// fully used without sheds or rising latency, and falls on a shed, on a rise of latency or on a
+/// timeout. A level that failed is tried again after a time that doubles at each failure.
 /// Thread safety: none. @c now must not decrease.
 class ConcurrencyLimit
 {
 public:
+    ConcurrencyLimit();
+
     std::uint32_t value() const { return m_limit; }
+    /// Highest level that has proved itself; below value() while a higher one is on trial.
+    std::uint32_t proven() const { return m_proven; }
 
     /// @p inFlight counts the requests at the upstream when this one was sent, including it.
     void onAnswer(std::uint32_t inFlight, Milliseconds latency, Milliseconds now);
@@ -24,28 +29,37 @@
     void onTimeout(Milliseconds now);
 
 private:
-    struct Mean
+    /// What is known about running a certain number of requests at once.
+    struct Level
     {
-        std::uint32_t count = 0;
-        double sum = 0;
+        std::uint32_t samples = 0;
+        double latencySum = 0;
+        /// Completions at full use since the limit last rose to this level.
+        std::uint32_t completions = 0;
+        Milliseconds backOff;
+        Milliseconds nextTry;
+
+        double meanLatency() const { return latencySum / samples; }
+    };
 
-        double value() const { return sum / count; }
+    enum class Verdict : std::uint8_t {
+        /// Too few samples at one of the two levels.
+        Open,
+        Good,
+        LatencyRises,
     };
 
-    void judgeLatency(Milliseconds now);
-    void lower(std::uint32_t limit, std::uint32_t failedLevel, Milliseconds now);
-    void clearSamples();
+    Verdict judge() const;
+    bool isMeasured() const;
+    void grow(Milliseconds now);
+    void fail(std::uint32_t level, Milliseconds now);
+    void lowerTo(std::uint32_t limit);
 
     std::uint32_t m_limit = 1;
-    /// Answers at full use since the last change.
-    std::uint32_t m_fullAnswers = 0;
-    std::uint32_t m_failedLevel = 0;
-    Milliseconds m_backOff;
-    Milliseconds m_nextGrowth;
+    std::uint32_t m_proven = 1;
     Milliseconds m_lastTimeout;
-    /// Latency of requests sent at full use and below it.
-    Mean m_atLimit;
-    Mean m_belowLimit;
+    /// Index is the number of requests in flight; index 0 is unused.
+    std::vector<Level> m_levels;
 };
 
 } // namespace damaskhall
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -165,8 +165,11 @@
         return std::nullopt;
     }
     retryAfter = jittered(std::clamp(*wait / 2, MinRetryAfter, MaxRetryAfter));
-    const Milliseconds needed = *wait + shard.selector().meanLatency() * ServiceTimeMargin;
-    if (needed > record.deadline - now) {
+    const Milliseconds remaining = record.deadline - now;
+    // Requests with short deadlines keep a chance: half of the time may go into waiting.
+    const Milliseconds margin =
+            std::min(shard.selector().slowestLatency() * ServiceTimeMargin, remaining / 2);
+    if (*wait + margin > remaining) {
         return RefusalReason::DeadlineUnreachable;
     }
     // A queue longer than the target would make every later request of the class miss it.
@@ -255,6 +258,11 @@
             refuse(record, RefusalReason::DeadlinePassed, MinRetryAfter, now, actions);
             continue;
         }
+        // Work that would probably end too late would take a slot from work that waits.
+        if (record.deadline - now < shard.selector().meanLatency() && shard.queue().size() > 0) {
+            refuse(record, RefusalReason::DeadlineUnreachable, MinRetryAfter, now, actions);
+            continue;
+        }
         m_hooks.observe(CoreSample::QueueWait, record.reservation.service,
                         record.reservation.workClass, now - record.arrival);
         if (isUpload) {
@@ -388,13 +396,19 @@
     actions.push_back({Destination::Upstream, slot.endpoint, slot.upstream, std::move(request)});
 }
 
+Milliseconds Dispatcher::attemptTimeout(const RequestRecord &record)
+{
+    const Milliseconds usual = shardAt(record.shard).selector().meanLatency();
+    return std::max(usual * AttemptTimeoutFactor, MinAttemptTimeout);
+}
+
 void Dispatcher::handleReply(const UpstreamReply &frame, Endpoint from, Milliseconds now,
                              Actions &actions)
 {
     refresh(now, actions);
     RequestRecord *record = m_table.findAttempt(frame.attempt);
     if (!record || record->phase != RecordPhase::Sent) {
-        dropLateReply(frame, from, actions);
+        dropLateReply(frame, from, now, actions);
         return;
     }
     const ServiceId service = record->reservation.service;
@@ -474,9 +488,50 @@
     shard.held().push_front(record.id());
 }
 
-void Dispatcher::dropLateReply(const UpstreamReply &frame, Endpoint from, Actions &actions)
+void Dispatcher::abandonAttempt(RequestRecord &record, Milliseconds now)
+{
+    const Milliseconds releaseAt =
+            std::max(now + MinAttemptTimeout, record.sentAt + attemptTimeout(record));
+    m_abandoned[record.attempt] = {record.shard,
+                                   slotOf(record),
+                                   record.sentAt,
+                                   releaseAt,
+                                   record.reservation.service,
+                                   record.reservation.workClass};
+    m_abandonedOrder.emplace(releaseAt, record.attempt);
+    m_table.clearAttempt(record);
+}
+
+void Dispatcher::releaseAbandoned(AttemptId attempt, SlotResult result, Milliseconds now)
+{
+    const auto found = m_abandoned.find(attempt);
+    const AbandonedAttempt &entry = found->second;
+    shardAt(entry.shard).selector().release(entry.slot, entry.sentAt, result, now);
+    m_abandonedOrder.erase({entry.releaseAt, attempt});
+    m_abandoned.erase(found);
+}
+
+void Dispatcher::releaseOverdueAttempts(Milliseconds now)
+{
+    while (!m_abandonedOrder.empty() && m_abandonedOrder.begin()->first <= now) {
+        releaseAbandoned(m_abandonedOrder.begin()->second, SlotResult::TimedOut, now);
+    }
+}
+
+void Dispatcher::dropLateReply(const UpstreamReply &frame, Endpoint from, Milliseconds now,
+                               Actions &actions)
 {
-    m_hooks.countEvent(CoreEvent::LateReplyDropped, {}, {});
+    const auto abandoned = m_abandoned.find(frame.attempt);
+    const bool isAbandoned =
+            abandoned != m_abandoned.end() && abandoned->second.slot.endpoint == from;
+    if (!isAbandoned) {
+        m_hooks.countEvent(CoreEvent::LateReplyDropped, {}, {});
+    } else {
+        const AbandonedAttempt &entry = abandoned->second;
+        m_hooks.countEvent(CoreEvent::LateReplyDropped, entry.service, entry.workClass);
+        const bool isAnswer = frame.status == ReplyStatus::Ok;
+        releaseAbandoned(frame.attempt, isAnswer ? SlotResult::Answered : SlotResult::Neutral, now);
+    }
     // Acknowledged, so that the upstream stops repeating it.
     const auto &upstreams = m_view->upstreams;
     const auto sender = std::find_if(upstreams.begin(), upstreams.end(), [from](const auto &item) {
@@ -488,7 +543,7 @@
     }
 }
 
-void Dispatcher::cancel(const Cancel &frame, Endpoint caller, Milliseconds now, Actions &actions)
+void Dispatcher::cancel(const Cancel &frame, Milliseconds now, Actions &actions)
 {
     refresh(now, actions);
     RequestRecord *record = m_table.find(frame.request);
@@ -501,7 +556,6 @@
     if (!isMatching) {
         return;
     }
-    record->caller = caller;
     switch (record->phase) {
     case RecordPhase::Waiting:
     case RecordPhase::Permitted:
@@ -580,6 +634,7 @@
 void Dispatcher::tick(Milliseconds now, Actions &actions)
 {
     refresh(now, actions);
+    releaseOverdueAttempts(now);
     while (RequestRecord *record = m_table.takeDue(now)) {
         wake(*record, now, actions);
     }
@@ -642,14 +697,13 @@
         m_table.wakeAt(record, record.deadline);
         return;
     }
-    releaseSlot(record, SlotResult::TimedOut, now);
+    abandonAttempt(record, now);
     if (!mayRepeat) {
         resolveUnknown(record, now, actions);
         return;
     }
     m_hooks.countRetry(RetryReason::UpstreamTimeout, record.reservation.service,
                        record.reservation.workClass);
-    m_table.clearAttempt(record);
     record.mayHaveRun = true;
     m_table.setPhase(record, RecordPhase::Held);
     m_table.wakeAt(record, record.deadline);
--- a/src/core/dispatch/dispatcher.h
+++ b/src/core/dispatch/dispatcher.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -49,8 +50,9 @@
     /// Precondition: @p permit is valid, names this incarnation and frame.request.
     void execute(const Execute &frame, const Token &permit, Endpoint caller, Milliseconds now,
                  Actions &actions);
-    /// Withdraws a request. Without a permit only one that has no Execute yet is withdrawn.
-    void cancel(const Cancel &frame, Endpoint caller, Milliseconds now, Actions &actions);
+    /// Withdraws a request. Without a permit only one that has no Execute yet is withdrawn. The
+    /// reply goes to the caller of the last Reserve or Execute.
+    void cancel(const Cancel &frame, Milliseconds now, Actions &actions);
     /// Drops the stored answer.
     void acknowledge(const AnswerAck &frame, Milliseconds now);
     /// Frees the slot of a stored upload. Precondition: @p token names this incarnation.
@@ -79,6 +81,18 @@
         std::uint64_t missed = 0;
     };
 
+    /// Attempt whose record no longer waits for it. Its slot stays taken until the upstream answers
+    /// or the time-out passes, as the upstream may still be running it.
+    struct AbandonedAttempt
+    {
+        ShardKey shard;
+        SlotUse slot;
+        Milliseconds sentAt;
+        Milliseconds releaseAt;
+        ServiceId service;
+        ClassId workClass;
+    };
+
     // Shards and the view.
     void refresh(Milliseconds now, Actions &actions);
     void addDispatchedShards();
@@ -103,6 +117,7 @@
     void startUpload(Shard &shard, RequestRecord &record, Milliseconds now, Actions &actions);
     void hold(Shard &shard, RequestRecord &record, const Execute &frame, Milliseconds now);
     void send(RequestRecord &record, const SlotUse &slot, Milliseconds now, Actions &actions);
+    Milliseconds attemptTimeout(const RequestRecord &record);
     void completeReply(RequestRecord &record, ReplyStatus status, Milliseconds now,
                        Actions &actions);
     void retry(RequestRecord &record, RetryReason reason, Milliseconds now, Actions &actions);
@@ -118,7 +133,11 @@
     void sendAnswer(const RequestRecord &record, Actions &actions) const;
     void sendUnknown(RequestId request, Endpoint caller, Actions &actions) const;
     void sendRefusal(const RequestRecord &record, Milliseconds retryAfter, Actions &actions) const;
-    void dropLateReply(const UpstreamReply &frame, Endpoint from, Actions &actions);
+    void abandonAttempt(RequestRecord &record, Milliseconds now);
+    void releaseAbandoned(AttemptId attempt, SlotResult result, Milliseconds now);
+    void releaseOverdueAttempts(Milliseconds now);
+    void dropLateReply(const UpstreamReply &frame, Endpoint from, Milliseconds now,
+                       Actions &actions);
     SealedToken sealToken(const RequestRecord &record, TokenKind kind, Milliseconds expiry) const;
     Milliseconds jittered(Milliseconds duration) const;
     void countTarget(const RequestRecord &record, Milliseconds now);
@@ -132,6 +151,8 @@
     Milliseconds m_now;
     Milliseconds m_nextProbe;
     RequestTable m_table;
+    std::unordered_map<AttemptId, AbandonedAttempt> m_abandoned;
+    std::set<std::pair<Milliseconds, AttemptId>> m_abandonedOrder;
     std::map<ShardKey, Shard> m_shards;
     std::unordered_map<ServiceId, std::vector<UpstreamView>> m_liveUpstreams;
     /// Upstreams that said that they are leaving; never withdrawn while they are listed.
--- a/src/core/dispatch/upstreamselector.cpp
+++ b/src/core/dispatch/upstreamselector.cpp
@@ -124,7 +124,7 @@
             continue;
         }
         const double connections = load.connections + load.newFeeds + load.earlierFeeds;
-        const double share = (connections + 1) / load.limit.value();
+        const double share = (connections + 1) / load.limit.proven();
         if (!best || share < bestShare) {
             best = &load;
             bestShare = share;
@@ -175,6 +175,15 @@
     return rate;
 }
 
+Milliseconds UpstreamSelector::slowestLatency() const
+{
+    double slowest = 0;
+    for (const auto &[id, load] : m_loads) {
+        slowest = std::max(slowest, load.meanLatency);
+    }
+    return {std::llround(slowest)};
+}
+
 Milliseconds UpstreamSelector::meanLatency() const
 {
     return {std::llround(m_meanLatency)};
@@ -247,7 +256,7 @@
 {
     const double kept = std::exp(-static_cast<double>((now - load.busyAt).value) / BusyWindowMs);
     const double busy = load.busy * kept + load.inFlight * (1 - kept);
-    return busy / load.limit.value();
+    return busy / load.limit.proven();
 }
 
 void UpstreamSelector::accumulateBusy(Load &load, Milliseconds now)
--- a/src/core/dispatch/upstreamselector.h
+++ b/src/core/dispatch/upstreamselector.h
@@ -62,6 +62,8 @@
     double capacity(Milliseconds now) const;
     /// Mean time from sending to answer; zero if not known yet.
     Milliseconds meanLatency() const;
+    /// Highest mean of a single upstream; zero if not known yet.
+    Milliseconds slowestLatency() const;
 
     /// Appends the probes that are due, with random nonces.
     void probe(Milliseconds now, const RandomSource &random, std::vector<SlotUse> &targets,
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -236,11 +236,11 @@
     }
 }
 
-void Router::deliverToOwner(const Cancel &frame, const Token &permit, Endpoint caller,
-                            Milliseconds now, Actions &actions)
+void Router::deliverToOwner(const Cancel &frame, const Token &permit, Endpoint, Milliseconds now,
+                            Actions &actions)
 {
     if (permit.ownerIncarnation == m_incarnation) {
-        m_dispatcher.cancel(frame, caller, now, actions);
+        m_dispatcher.cancel(frame, now, actions);
     }
 }
 
@@ -257,7 +257,7 @@
             dispatcherOf(*m_view, frame.service, shardOfSubject(frame.request.value, shards));
     const MemberView *peer = dispatcher ? m_view->findMember(*dispatcher) : nullptr;
     if (!peer || peer->id == m_self || hops >= MaxRelayHops) {
-        m_dispatcher.cancel(frame, caller, now, actions);
+        m_dispatcher.cancel(frame, now, actions);
         return;
     }
     actions.push_back(relay(*peer, frame, caller, hops));
