--- a/src/core/dispatch/concurrencylimit.cpp
+++ b/src/core/dispatch/concurrencylimit.cpp
@@ -42,6 +42,14 @@
     return SamplesForUnitDifference / (difference * difference);
 }
 
+/// Completions at full use without a failure that prove a level for which the low level gets too
+/// few samples. The second slot counts early: upstreams that learn it at different times would
+/// otherwise seem unequally busy.
+double completionsToProve(std::uint32_t limit)
+{
+    return limit <= 2 ? 4 : 2 * samplesNeeded(limit);
+}
+
 } // namespace
 
 ConcurrencyLimit::ConcurrencyLimit()
@@ -79,8 +87,7 @@
     Level &level = m_levels[m_limit];
     ++level.completions;
     level.credit = std::min(level.credit + 1, MaxCredit);
-    // Twice the samples of a verdict without a failure, where the low level gets too few for one.
-    if (m_limit > 1 && level.completions >= 2 * samplesNeeded(m_limit)) {
+    if (level.completions >= completionsToProve(m_limit)) {
         level.backOff = 0_ms;
         m_proven = m_limit;
     }
