--- a/measure/damaskhall-measure.cpp
+++ b/measure/damaskhall-measure.cpp
@@ -1,6 +1,8 @@
 #include "measure/faultrows.h"
+#include "measure/flowrows.h"
 #include "measure/loadrows.h"
 #include "measure/measurement.h"
+#include "measure/overloadrows.h"
 #include "measure/policytrials.h"
 #include "measure/report.h"
 
@@ -27,10 +29,10 @@
 std::vector<Experiment> experiments()
 {
     return {
-            {"policies", measurePolicies},
-            {"load", measureLoad},
-            {"faults", measureRandomFaults},
-            {"onekill", measureOneKill},
+            {"policies", measurePolicies},   {"load", measureLoad},
+            {"faults", measureRandomFaults}, {"onekill", measureOneKill},
+            {"flows", measureFlows},         {"leaving", measureLeaving},
+            {"overload", measureOverload},   {"fairness", measureFairness},
     };
 }
 
