--- a/src/core/control/membershipcontroller.cpp
+++ b/src/core/control/membershipcontroller.cpp
@@ -204,12 +204,16 @@
     const auto found = m_members.find(id);
     const bool isKnown =
             found != m_members.end() && found->second.report.incarnation >= incarnation;
+    if (isKnown || id == m_self.id || control == m_self.control) {
+        return;
+    }
     // A list can show a process for a while after another one has taken its address.
-    const bool isReplaced = std::any_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
-        return entry.second.report.control == control &&
-               entry.second.report.incarnation > incarnation;
-    });
-    if (id == m_self.id || control == m_self.control || isKnown || isReplaced) {
+    const bool isReplaced =
+            std::any_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
+                return entry.second.report.control == control &&
+                       entry.second.report.incarnation > incarnation;
+            });
+    if (isReplaced) {
         return;
     }
     accept({id, incarnation, 0, MemberState::Alive, endpoint, control}, now);
