--- a/measure/flowrows.cpp
+++ b/measure/flowrows.cpp
@@ -21,6 +21,10 @@
 constexpr Milliseconds SampleInterval = 200_ms;
 constexpr Milliseconds SettleTime = 5_s;
 constexpr double PlannedLoad = 0.4;
+/// Rolling replacement: how often a stopping balancer is checked, and the pause before and after
+/// its successor starts.
+constexpr Milliseconds PollInterval = 100_ms;
+constexpr Milliseconds Gap = 1_s;
 
 struct FlowResult
 {
@@ -137,8 +141,6 @@
 private:
     void waitUntilEmpty(std::uint32_t index)
     {
-        constexpr Milliseconds PollInterval = 100_ms;
-        constexpr Milliseconds Gap = 1_s;
         m_session.events().schedule(m_session.events().now() + PollInterval, [this, index] {
             if (!m_session.router(index).load().isEmpty()) {
                 waitUntilEmpty(index);
--- a/measure/overloadrows.cpp
+++ b/measure/overloadrows.cpp
@@ -6,6 +6,7 @@
 #include "measure/seedrunner.h"
 #include "measure/statistics.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
@@ -84,6 +85,11 @@
     double feed = 0;
     double amplification = 0;
     double claimP99Ms = 0;
+    /// Share of the slots' time spent running, and of requests that ran but were not answered in
+    /// time.
+    double busy = 0;
+    double lateRuns = 0;
+    double refused = 0;
 };
 
 double triesPerTriedRequest(const fakes::Session &session)
@@ -99,11 +105,12 @@
     return tries.empty() ? 0 : sum / static_cast<double>(tries.size());
 }
 
-OverloadResult runOverload(std::uint64_t seed, Milliseconds warmUp, Milliseconds duration)
+OverloadResult runOverload(std::uint64_t seed, double randomSheds, Milliseconds warmUp,
+                           Milliseconds duration)
 {
     fakes::Session session(fleetOptions(seed), fleetDeclaration());
     BoardOptions board;
-    board.randomSheds = RandomSheds;
+    board.randomSheds = randomSheds;
     addBoard(session, board);
     RequestLoad load(session, seededRandom(seed + 2));
     session.runFor(100_ms);
@@ -120,6 +127,8 @@
     std::map<std::size_t, double> offered;
     std::map<std::size_t, double> inTime;
     std::vector<double> claimLatencies;
+    OverloadResult result;
+    double ran = 0;
     for (const IssuedRequest &request : load.issued()) {
         if (request.client->startedAt() < warmUp) {
             continue;
@@ -128,12 +137,20 @@
         const bool isInTime = request.isAnswered() && request.latency() <= target;
         ++offered[request.stream];
         inTime[request.stream] += isInTime ? 1 : 0;
+        const bool hasRun = !isInTime && runsOf(session, request.body) > 0;
+        ran += isInTime || hasRun ? 1 : 0;
+        result.lateRuns += hasRun ? 1 : 0;
+        result.refused += request.client->phase() == RequestPhase::Refused ? 1 : 0;
         if (request.stream == claims && request.isAnswered()) {
             claimLatencies.push_back(static_cast<double>(request.latency().value));
         }
     }
     const double possible = capacity * static_cast<double>((duration - warmUp).value);
-    OverloadResult result;
+    result.lateRuns /= std::max(ran, 1.0);
+    result.refused /= offered[claims] + offered[lookups];
+    for (const double busyMs : boardBusyMs(session)) {
+        result.busy += busyMs / static_cast<double>(duration.value * WorkshopUpstreams);
+    }
     result.total = (inTime[claims] + inTime[lookups]) / possible;
     result.claim = inTime[claims] / offered[claims];
     result.lookup = inTime[lookups] / (possible - offered[claims]);
@@ -191,34 +208,50 @@
     return result;
 }
 
-} // namespace
-
-std::vector<Row> measureOverload(const MeasureOptions &options)
+/// Rows of one run set. @p suffix tells them apart.
+std::vector<Row> measureOverloadWith(const MeasureOptions &options, double randomSheds,
+                                     const std::string &suffix)
 {
     const Milliseconds warmUp = options.quick ? 5_s : 10_s;
     const Milliseconds duration = options.quick ? 15_s : 40_s;
     const std::function<OverloadResult(std::uint64_t)> experiment = [&](std::uint64_t seed) {
-        return runOverload(seed, warmUp, duration);
+        return runOverload(seed, randomSheds, warmUp, duration);
     };
     const auto results = runSeeds(options, experiment);
     const std::string inputs = "balancers=9 upstreams=14 load=200% claims=50% lookups=150% "
-                               "random_sheds=2% feeds=200 measured_s=" +
-                               std::to_string((duration - warmUp).value / 1000);
-    const auto goodput = [](const std::string &name) {
-        return Figure{"goodput_overload." + name, "ratio", 0.95, Bound::AtLeast};
+                               "feeds=200 random_sheds=" +
+                               std::to_string(randomSheds) +
+                               " measured_s=" + std::to_string((duration - warmUp).value / 1000);
+    const auto goodput = [&](const std::string &name) {
+        return Figure{"goodput_overload." + name + suffix, "ratio", 0.95, Bound::AtLeast};
     };
     std::vector<Row> rows =
             summarise(goodput("total"), column(results, &OverloadResult::total), inputs);
     append(rows, summarise(goodput("claim"), column(results, &OverloadResult::claim), inputs));
     append(rows, summarise(goodput("lookup"), column(results, &OverloadResult::lookup), inputs));
     append(rows, summarise(goodput("feed"), column(results, &OverloadResult::feed), inputs));
-    append(rows, summarise({"overload_claim_p99", "ms"},
+    append(rows, summarise({"overload_claim_p99" + suffix, "ms"},
                            column(results, &OverloadResult::claimP99Ms), inputs));
-    append(rows, summarise({"retry_amplification", "ratio", 1.1, Bound::AtMost},
+    append(rows, summarise({"overload_busy_share" + suffix, "share"},
+                           column(results, &OverloadResult::busy), inputs));
+    append(rows, summarise({"overload_late_runs" + suffix, "share"},
+                           column(results, &OverloadResult::lateRuns), inputs));
+    append(rows, summarise({"overload_refused" + suffix, "share"},
+                           column(results, &OverloadResult::refused), inputs));
+    append(rows, summarise({"retry_amplification" + suffix, "ratio", 1.1, Bound::AtMost},
                            column(results, &OverloadResult::amplification), inputs));
     return rows;
 }
 
+} // namespace
+
+std::vector<Row> measureOverload(const MeasureOptions &options)
+{
+    std::vector<Row> rows = measureOverloadWith(options, 0, "");
+    append(rows, measureOverloadWith(options, RandomSheds, ".random_sheds"));
+    return rows;
+}
+
 std::vector<Row> measureFairness(const MeasureOptions &options)
 {
     const Milliseconds warmUp = options.quick ? 5_s : 10_s;
