--- a/src/platform/platformclient.cpp
+++ b/src/platform/platformclient.cpp
@@ -1,6 +1,7 @@
 #include "platform/platformclient.h"
 
-#include <curl/curl.h>
+#include "platform/httpclient.h"
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -13,18 +14,7 @@
 constexpr long HttpOk = 200;
 constexpr long HttpNotFound = 404;
 constexpr long HttpConflict = 409;
-
-struct HttpReply
-{
-    long status = 0;
-    std::string body;
-};
-
-std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *target)
-{
-    static_cast<std::string *>(target)->append(data, size * count);
-    return size * count;
-}
+constexpr long HttpServerError = 500;
 
 Result<PlatformInstance> readInstance(const Json &json, const std::string &peer)
 {
@@ -44,77 +34,44 @@
     }
 }
 
+Error unexpectedStatus(Step step, const std::string &peer, const HttpReply &reply)
+{
+    // A server error does not say whether a write took effect.
+    const bool isUnknown = step == Step::WritePlatform && reply.status >= HttpServerError;
+    return {isUnknown ? ErrorCode::OutcomeUnknown : ErrorCode::Unreachable, step, peer,
+            "HTTP status " + std::to_string(reply.status)};
+}
+
 } // namespace
 
 struct PlatformClient::Private
 {
     Private(Endpoint endpoint, Milliseconds callTimeout)
-        : peer(toString(endpoint))
-        , timeout(callTimeout)
-        , curl(curl_easy_init(), &curl_easy_cleanup)
+        : timeout(callTimeout)
+        , http(endpoint)
     {
     }
 
-    std::string url(const std::string &path) const { return "http://" + peer + path; }
-
-    // Sends one request. A non-null @p body makes it a PUT.
-    Result<HttpReply> call(Step step, const std::string &path, const std::string *body,
-                           Milliseconds limit)
-    {
-        HttpReply reply;
-        CURL *handle = curl.get();
-        curl_easy_reset(handle);
-        curl_easy_setopt(handle, CURLOPT_URL, url(path).c_str());
-        curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-        curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
-        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(limit.value));
-        curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
-        curl_easy_setopt(handle, CURLOPT_WRITEDATA, &reply.body);
-        if (body) {
-            curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, "PUT");
-            curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(body->size()));
-            curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body->c_str());
-        }
-        const CURLcode code = curl_easy_perform(handle);
-        if (code == CURLE_OK) {
-            curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &reply.status);
-            return reply;
-        }
-        const std::string detail = curl_easy_strerror(code);
-        if (code == CURLE_COULDNT_CONNECT) {
-            return Error{ErrorCode::Unreachable, step, peer, detail};
-        }
-        // The request may have been carried out although no reply arrived.
-        const bool isWrite = body != nullptr;
-        return Error{isWrite ? ErrorCode::OutcomeUnknown : ErrorCode::Timeout, step, peer, detail};
-    }
-
     Result<PlatformValue> readValue(Step step, const std::string &path, Milliseconds limit)
     {
-        BOOST_OUTCOME_TRY(reply, call(step, path, nullptr, limit));
+        BOOST_OUTCOME_TRY(reply, http.call(step, HttpMethod::Get, path, {}, limit));
         if (reply.status == HttpNotFound) {
             return PlatformValue{};
         }
         if (reply.status != HttpOk) {
-            return unexpectedStatus(step, reply);
+            return unexpectedStatus(step, http.peer(), reply);
         }
         try {
             const Json json = Json::parse(reply.body);
             return PlatformValue{json.at("value").get<std::string>(),
                                  json.at("version").get<std::uint64_t>()};
         } catch (const Json::exception &error) {
-            return Error{ErrorCode::Malformed, step, peer, error.what()};
+            return Error{ErrorCode::Malformed, step, http.peer(), error.what()};
         }
     }
 
-    Error unexpectedStatus(Step step, const HttpReply &reply) const
-    {
-        return {ErrorCode::Unreachable, step, peer, "HTTP status " + std::to_string(reply.status)};
-    }
-
-    std::string peer;
     Milliseconds timeout;
-    std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> curl;
+    HttpClient http;
 };
 
 PlatformClient::PlatformClient(Endpoint platform, Milliseconds timeout)
@@ -141,34 +98,37 @@
                                                      const std::string &value,
                                                      std::uint64_t expected)
 {
+    constexpr Step Write = Step::WritePlatform;
     const std::string path = "/kv/" + key + "?expected=" + std::to_string(expected);
-    BOOST_OUTCOME_TRY(reply, m_d->call(Step::WritePlatform, path, &value, m_d->timeout));
+    BOOST_OUTCOME_TRY(reply, m_d->http.call(Write, HttpMethod::Put, path, value, m_d->timeout));
     if (reply.status == HttpConflict) {
-        return Error{ErrorCode::Conflict, Step::WritePlatform, m_d->peer, reply.body};
+        return Error{ErrorCode::Conflict, Write, m_d->http.peer(), reply.body};
     }
     if (reply.status != HttpOk) {
-        return m_d->unexpectedStatus(Step::WritePlatform, reply);
+        return unexpectedStatus(Write, m_d->http.peer(), reply);
     }
     try {
         return Json::parse(reply.body).at("version").get<std::uint64_t>();
     } catch (const Json::exception &error) {
-        return Error{ErrorCode::OutcomeUnknown, Step::WritePlatform, m_d->peer, error.what()};
+        return Error{ErrorCode::OutcomeUnknown, Write, m_d->http.peer(), error.what()};
     }
 }
 
 Result<std::vector<PlatformInstance>> PlatformClient::instances()
 {
-    BOOST_OUTCOME_TRY(reply, m_d->call(Step::ReadPlatform, "/instances", nullptr, m_d->timeout));
+    constexpr Step Read = Step::ReadPlatform;
+    BOOST_OUTCOME_TRY(reply, m_d->http.call(Read, HttpMethod::Get, "/instances", {}, m_d->timeout));
     if (reply.status != HttpOk) {
-        return m_d->unexpectedStatus(Step::ReadPlatform, reply);
+        return unexpectedStatus(Read, m_d->http.peer(), reply);
     }
     const Json list = Json::parse(reply.body, nullptr, false);
     if (!list.is_array()) {
-        return Error{ErrorCode::Malformed, Step::ReadPlatform, m_d->peer, "expected a JSON array"};
+        return Error{ErrorCode::Malformed, Read, m_d->http.peer(), "expected a JSON array"};
     }
     std::vector<PlatformInstance> instances;
+    instances.reserve(list.size());
     for (const Json &entry : list) {
-        BOOST_OUTCOME_TRY(instance, readInstance(entry, m_d->peer));
+        BOOST_OUTCOME_TRY(instance, readInstance(entry, m_d->http.peer()));
         instances.push_back(std::move(instance));
     }
     return instances;
@@ -183,10 +143,10 @@
                        {"service", instance.service},
                        {"incarnation", instance.incarnation},
                        {"state", instance.isLeaving ? "leaving" : "live"}};
-    const std::string body = json.dump();
-    BOOST_OUTCOME_TRY(reply, m_d->call(Step::WritePlatform, "/instances", &body, m_d->timeout));
+    BOOST_OUTCOME_TRY(reply, m_d->http.call(Step::WritePlatform, HttpMethod::Put, "/instances",
+                                            json.dump(), m_d->timeout));
     if (reply.status != HttpOk) {
-        return m_d->unexpectedStatus(Step::WritePlatform, reply);
+        return unexpectedStatus(Step::WritePlatform, m_d->http.peer(), reply);
     }
     return success();
 }
