--- /dev/null
+++ b/src/core/dispatch/concurrencylimit.cpp
@@ -0,0 +1,181 @@
+#include "core/dispatch/concurrencylimit.h"
+
+#include <algorithm>
+
+namespace damaskhall {
+
+namespace {
+
+constexpr std::uint32_t MaxLimit = 64;
+constexpr Milliseconds FirstBackOff = 1_s;
+/// A trial above the real capacity costs a shed request, or some requests that wait.
+constexpr Milliseconds MaxBackOff = 120_s;
+/// A level that works tolerates a shed per so many completions: upstreams also shed for passing
+/// reasons, and a fall costs far more than a retry.
+constexpr std::uint32_t ShedCost = 16;
+constexpr std::uint32_t MaxCredit = 64;
+/// Timeouts of requests that were sent together count once.
+constexpr Milliseconds TimeoutInterval = 1_s;
+/// Older samples lose half of their weight beyond this number.
+constexpr std::uint32_t MaxSamples = 1'024;
+/// For exponential service times, the difference of two means of n samples has a standard
+/// deviation of sqrt(2 / n); this many samples, divided by the square of the difference looked
+/// for, make it three standard deviations.
+constexpr double SamplesForUnitDifference = 18;
+
+/// Part of the limit with which the latency at the limit is compared.
+std::uint32_t lowLevel(std::uint32_t limit)
+{
+    return (limit + 1) / 2;
+}
+
+/// Relative rise of latency that counts. If the low level already uses all slots, latency grows in
+/// proportion to the requests in flight, and otherwise it stays the same; this is halfway.
+double risingDifference(std::uint32_t limit)
+{
+    return (static_cast<double>(limit) / lowLevel(limit) - 1) / 2;
+}
+
+double samplesNeeded(std::uint32_t limit)
+{
+    const double difference = risingDifference(limit);
+    return SamplesForUnitDifference / (difference * difference);
+}
+
+/// Completions at full use without a failure that prove a level for which the low level gets too
+/// few samples. The second slot counts early: upstreams that learn it at different times would
+/// otherwise seem unequally busy.
+double completionsToProve(std::uint32_t limit)
+{
+    return limit <= 2 ? 4 : 2 * samplesNeeded(limit);
+}
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit()
+    : m_levels(2)
+{
+}
+
+void ConcurrencyLimit::onAnswer(std::uint32_t inFlight, Milliseconds latency, Milliseconds now)
+{
+    Level &level = m_levels[std::clamp(inFlight, 1U, m_limit)];
+    if (level.samples == MaxSamples) {
+        level.samples /= 2;
+        level.latencySum /= 2;
+    }
+    ++level.samples;
+    level.latencySum += static_cast<double>(latency.value);
+    const Verdict verdict = judge();
+    if (verdict == Verdict::LatencyRises) {
+        fail(m_limit, now);
+        lowerTo(m_limit - 1);
+        return;
+    }
+    if (verdict == Verdict::Good) {
+        m_levels[m_limit].backOff = 0_ms;
+        m_proven = m_limit;
+    }
+    onCompletion(inFlight, now);
+}
+
+void ConcurrencyLimit::onCompletion(std::uint32_t inFlight, Milliseconds now)
+{
+    if (inFlight < m_limit) {
+        return;
+    }
+    Level &level = m_levels[m_limit];
+    ++level.completions;
+    level.credit = std::min(level.credit + 1, MaxCredit);
+    if (level.completions >= completionsToProve(m_limit)) {
+        level.backOff = 0_ms;
+        m_proven = m_limit;
+    }
+    grow(now);
+}
+
+void ConcurrencyLimit::onShed(std::uint32_t inFlight, Milliseconds now)
+{
+    const std::uint32_t level = std::clamp(inFlight, 1U, m_limit);
+    if (m_levels[level].credit >= ShedCost) {
+        m_levels[level].credit -= ShedCost;
+        return;
+    }
+    fail(level, now);
+    lowerTo(std::max(level, 2U) - 1);
+}
+
+void ConcurrencyLimit::onTimeout(Milliseconds now)
+{
+    if (m_lastTimeout > 0_ms && now - m_lastTimeout < TimeoutInterval) {
+        return;
+    }
+    m_lastTimeout = now;
+    Level &level = m_levels[m_limit];
+    level.nextTry = now + TimeoutInterval;
+    lowerTo(std::max(m_limit, 2U) - 1);
+}
+
+void ConcurrencyLimit::grow(Milliseconds now)
+{
+    const Level &level = m_levels[m_limit];
+    const bool isUsed = level.completions >= m_limit;
+    if (!isUsed || m_limit == MaxLimit || !isMeasured()) {
+        return;
+    }
+    if (m_levels.size() <= m_limit + 1) {
+        m_levels.resize(m_limit + 2);
+    }
+    Level &next = m_levels[m_limit + 1];
+    if (now < next.nextTry) {
+        return;
+    }
+    next.completions = 0;
+    m_proven = m_limit;
+    ++m_limit;
+}
+
+ConcurrencyLimit::Verdict ConcurrencyLimit::judge() const
+{
+    if (m_limit < 2) {
+        return Verdict::Open;
+    }
+    const Level &low = m_levels[lowLevel(m_limit)];
+    const Level &full = m_levels[m_limit];
+    const double needed = samplesNeeded(m_limit);
+    if (low.samples < needed || full.samples < needed) {
+        return Verdict::Open;
+    }
+    const double ratio = full.meanLatency() / low.meanLatency();
+    return ratio > 1 + risingDifference(m_limit) ? Verdict::LatencyRises : Verdict::Good;
+}
+
+bool ConcurrencyLimit::isMeasured() const
+{
+    // The second slot is tried at once, so that a new dispatcher soon has capacity again. Uploads
+    // leave no samples. Under a lasting overload the low level gets none, so the verdict may stay
+    // open; the samples of this level then serve the comparison at a higher one.
+    const Level &level = m_levels[m_limit];
+    if (m_limit == 1 || level.samples == 0) {
+        return true;
+    }
+    return level.samples >= std::max(samplesNeeded(m_limit), samplesNeeded(m_limit + 1));
+}
+
+void ConcurrencyLimit::fail(std::uint32_t failed, Milliseconds now)
+{
+    Level &level = m_levels[failed];
+    level.backOff = std::clamp(level.backOff * 2, FirstBackOff, MaxBackOff);
+    level.credit = 0;
+    level.nextTry = now + level.backOff;
+    level.samples = 0;
+    level.latencySum = 0;
+}
+
+void ConcurrencyLimit::lowerTo(std::uint32_t limit)
+{
+    m_limit = std::min(m_limit, limit);
+    m_proven = std::min(m_proven, m_limit);
+}
+
+} // namespace damaskhall
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -66,8 +66,19 @@
 
 void Router::setView(std::shared_ptr<const RoutingView> view)
 {
-    m_view = view;
-    m_dispatcher.setView(std::move(view));
+    m_view = m_isLeaving ? withSelfLeaving(*view) : std::move(view);
+    m_dispatcher.setView(m_view);
+}
+
+std::shared_ptr<const RoutingView> Router::withSelfLeaving(const RoutingView &view) const
+{
+    auto changed = std::make_shared<RoutingView>(view);
+    for (MemberView &member : changed->members) {
+        if (member.id == m_self) {
+            member.state = MemberState::Leaving;
+        }
+    }
+    return changed;
 }
 
 void Router::handle(const Frame &frame, Endpoint from, Milliseconds now, Actions &actions)
@@ -145,6 +156,9 @@
 
 void Router::beginLeaving(Milliseconds now, Actions &actions)
 {
+    // Views that the control thread made earlier still name this balancer as dispatcher.
+    m_isLeaving = true;
+    setView(m_view);
     m_dispatcher.beginLeaving(now, actions);
 }
 
@@ -222,11 +236,11 @@
     }
 }
 
-void Router::deliverToOwner(const Cancel &frame, const Token &permit, Endpoint caller,
-                            Milliseconds now, Actions &actions)
+void Router::deliverToOwner(const Cancel &frame, const Token &permit, Endpoint, Milliseconds now,
+                            Actions &actions)
 {
     if (permit.ownerIncarnation == m_incarnation) {
-        m_dispatcher.cancel(frame, caller, now, actions);
+        m_dispatcher.cancel(frame, now, actions);
     }
 }
 
@@ -243,7 +257,7 @@
             dispatcherOf(*m_view, frame.service, shardOfSubject(frame.request.value, shards));
     const MemberView *peer = dispatcher ? m_view->findMember(*dispatcher) : nullptr;
     if (!peer || peer->id == m_self || hops >= MaxRelayHops) {
-        m_dispatcher.cancel(frame, caller, now, actions);
+        m_dispatcher.cancel(frame, now, actions);
         return;
     }
     actions.push_back(relay(*peer, frame, caller, hops));
