--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -12,8 +12,11 @@
 
 namespace {
 
-/// The admin port follows the traffic port by this much unless it is set.
-constexpr std::uint16_t DefaultAdminPortOffset = 1000;
+/// Distances of the default ports from the traffic port. Balancers that know each other only from
+/// the platform's list expect the default control port (ControlPortOffset).
+constexpr unsigned DefaultControlPortOffset = 1000;
+constexpr unsigned DefaultAdminPortOffset = 2000;
+constexpr unsigned MaxPort = std::numeric_limits<std::uint16_t>::max();
 constexpr std::size_t KeyHexDigits = 32;
 
 struct Field
@@ -57,15 +60,15 @@
     return items;
 }
 
-bool readSeeds(Settings &settings, const std::string &text)
+bool readEndpoints(const std::string &text, std::vector<Endpoint> &endpoints)
 {
-    settings.seeds.clear();
+    endpoints.clear();
     for (const std::string &item : splitList(text)) {
-        Endpoint seed;
-        if (!readEndpoint(item, seed)) {
+        Endpoint endpoint;
+        if (!readEndpoint(item, endpoint)) {
             return false;
         }
-        settings.seeds.push_back(seed);
+        endpoints.push_back(endpoint);
     }
     return true;
 }
@@ -112,35 +115,44 @@
     return std::find(levels.begin(), levels.end(), text) != levels.end();
 }
 
-Field endpointField(const std::string &key, const std::string &option, const std::string &help,
-                    bool isRequired, Endpoint Settings::*member)
+Field endpointField(SettingsKey key, bool isRequired, Endpoint Settings::*member)
 {
-    return {{key, option, help},
-            isRequired,
-            "an address and port such as 10.0.0.1:7001",
+    return {std::move(key), isRequired, "an address and port such as 10.0.0.1:7001",
             [member](Settings &settings, const std::string &text) {
                 return readEndpoint(text, settings.*member);
             }};
 }
 
+Field endpointListField(SettingsKey key, std::vector<Endpoint> Settings::*member)
+{
+    return {std::move(key), false, "addresses and ports, separated by commas",
+            [member](Settings &settings, const std::string &text) {
+                return readEndpoints(text, settings.*member);
+            }};
+}
+
 std::vector<Field> addressFields()
 {
     return {
-            endpointField("listen", "listen", "UDP address and port for traffic", true,
+            endpointField({"listen", "listen", "UDP address and port for traffic"}, true,
                           &Settings::listen),
-            endpointField("control_listen", "control-listen",
-                          "TCP address and port for other balancers (default: as listen)", false,
-                          &Settings::controlListen),
-            endpointField("admin_listen", "admin-listen",
-                          "TCP address and port of the operators' HTTP (default: port of listen "
-                          "+ 1000)",
+            endpointField({"control_listen", "control-listen",
+                           "UDP and TCP address and port for other balancers (default: port of "
+                           "listen + 1000)"},
+                          false, &Settings::controlListen),
+            endpointField({"admin_listen", "admin-listen",
+                           "TCP address and port of the operators' HTTP (default: port of listen "
+                           "+ 2000)"},
                           false, &Settings::adminListen),
-            endpointField("platform", "platform", "address and port of the platform", true,
+            endpointField({"platform", "platform", "address and port of the platform"}, true,
                           &Settings::platform),
-            {{"seeds", "seeds", "control addresses of some balancers, separated by commas"},
-             false,
-             "addresses and ports, separated by commas",
-             &readSeeds},
+            endpointListField({"seeds", "seed",
+                               "control addresses of balancers to ask first, separated by commas"},
+                              &Settings::seeds),
+            endpointListField({"remote_peers", "remote-peer",
+                               "control addresses of balancers in other data centres, separated "
+                               "by commas"},
+                              &Settings::remotePeers),
     };
 }
 
@@ -233,20 +245,30 @@
     }
 }
 
-// Fills in defaults that depend on other settings and checks settings against each other.
-void checkTogether(Settings &settings, Diagnostics &diagnostics)
+// Sets @p endpoint to the port of listen plus @p offset unless it is set.
+void completeEndpoint(const Settings &settings, unsigned offset, const std::string &key,
+                      Endpoint &endpoint, Diagnostics &diagnostics)
 {
-    if (settings.controlListen.isNull()) {
-        settings.controlListen = settings.listen;
+    if (!endpoint.isNull() || settings.listen.isNull()) {
+        return;
     }
-    if (settings.adminListen.isNull() && !settings.listen.isNull()) {
-        const unsigned port = settings.listen.port + unsigned{DefaultAdminPortOffset};
-        if (port > std::numeric_limits<std::uint16_t>::max()) {
-            diagnostics.add(0, "listen port above 64535 without admin_listen", "admin_listen");
-            return;
-        }
-        settings.adminListen = {settings.listen.address, static_cast<std::uint16_t>(port)};
+    const unsigned port = settings.listen.port + offset;
+    if (port > MaxPort) {
+        diagnostics.add(
+                0, "no " + key + " and a listen port above " + std::to_string(MaxPort - offset),
+                "'" + key + " = ...'");
+        return;
     }
+    endpoint = {settings.listen.address, static_cast<std::uint16_t>(port)};
+}
+
+// Fills in defaults that depend on other settings and checks settings against each other.
+void checkTogether(Settings &settings, Diagnostics &diagnostics)
+{
+    completeEndpoint(settings, DefaultControlPortOffset, "control_listen", settings.controlListen,
+                     diagnostics);
+    completeEndpoint(settings, DefaultAdminPortOffset, "admin_listen", settings.adminListen,
+                     diagnostics);
     if (!settings.listen.isNull() && settings.controlListen == settings.adminListen) {
         diagnostics.add(0, "control_listen and admin_listen both " + toString(settings.adminListen),
                         "two addresses or ports");
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -21,13 +21,15 @@
     std::string dataCentre;
     /// UDP: packets of callers, upstreams and other balancers.
     Endpoint listen;
-    /// TCP: control connections of other balancers.
+    /// UDP and TCP: control messages of other balancers.
     Endpoint controlListen;
     /// TCP: operators' HTTP.
     Endpoint adminListen;
     Endpoint platform;
     /// Control endpoints of balancers to start from while the platform is down.
     std::vector<Endpoint> seeds;
+    /// Control endpoints of balancers in other data centres.
+    std::vector<Endpoint> remotePeers;
     std::map<std::uint8_t, std::array<std::uint8_t, 16>> tokenKeys;
     /// Key that seals new tokens; all keys open tokens.
     std::uint8_t currentTokenKey = 0;
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -18,6 +18,17 @@
         "target_met",  "target_missed", "reservation_handed_over", "late_reply_dropped",
 };
 
+constexpr std::array<std::string_view, ControlEventCount> ControlEventNames = {
+        "lower_revision_ignored",
+        "declaration_rejected",
+        "declaration_applied",
+        "message_refused",
+        "version_refused",
+        "member_suspected",
+        "member_died",
+        "instance_id_taken",
+};
+
 constexpr std::array<std::string_view, CoreSampleCount> SampleMetrics = {
         "damaskhall_queue_wait_milliseconds",
         "damaskhall_answer_time_milliseconds",
@@ -68,12 +79,19 @@
     return EventNames.at(static_cast<std::size_t>(event));
 }
 
+std::string_view toString(ControlEvent event)
+{
+    return ControlEventNames.at(static_cast<std::size_t>(event));
+}
+
 const std::vector<MetricInfo> &metricInfos()
 {
     static const std::vector<MetricInfo> infos = {
             {"damaskhall_refusals_total", "counter", "Work refused or packets dropped, by reason."},
             {"damaskhall_retries_total", "counter", "Repeated sends, by reason."},
             {"damaskhall_events_total", "counter", "Other occurrences, by event."},
+            {"damaskhall_control_events_total", "counter",
+             "Occurrences of the control plane, by event."},
             {"damaskhall_queue_wait_milliseconds", "summary",
              "Time from the arrival of a reservation to its permit."},
             {"damaskhall_answer_time_milliseconds", "summary",
@@ -83,6 +101,8 @@
             {"damaskhall_upstreams", "gauge", "Upstreams of the data centre, by state."},
             {"damaskhall_waiting", "gauge", "Reservations in the queues of this dispatcher."},
             {"damaskhall_in_progress", "gauge", "Permitted and sent requests and open uploads."},
+            {"damaskhall_platform_reachable", "gauge",
+             "0 while calls to the platform fail, else 1."},
             {"damaskhall_leaving", "gauge", "1 while this balancer stops gracefully, else 0."},
     };
     return infos;
@@ -123,6 +143,16 @@
         }
     }
 
+    void writeControlEvents(std::ostream &out) const
+    {
+        constexpr std::string_view Metric = "damaskhall_control_events_total";
+        writeHeader(out, Metric);
+        for (std::size_t i = 0; i < controlEvents.size(); ++i) {
+            out << Metric << "{event=\"" << ControlEventNames.at(i) << "\"} " << controlEvents.at(i)
+                << "\n";
+        }
+    }
+
     void writeSummary(std::ostream &out, std::size_t sample) const
     {
         const std::string_view metric = SampleMetrics.at(sample);
@@ -152,6 +182,7 @@
 
     Clock clock;
     mutable std::mutex mutex;
+    std::array<std::uint64_t, ControlEventCount> controlEvents{};
     std::map<Key, Names> names;
     /// References to elements stay valid while others are added.
     std::map<Key, Series> series;
@@ -200,6 +231,12 @@
     ++m_d->find(service, workClass).events.at(static_cast<std::size_t>(event));
 }
 
+void Metrics::countControlEvent(ControlEvent event)
+{
+    const std::lock_guard lock(m_d->mutex);
+    ++m_d->controlEvents.at(static_cast<std::size_t>(event));
+}
+
 void Metrics::observe(CoreSample sample, ServiceId service, ClassId workClass,
                       Milliseconds duration)
 {
@@ -223,6 +260,7 @@
                            [](auto i) { return toString(static_cast<RetryReason>(i)); });
         m_d->writeCounters(out, "damaskhall_events_total", "event", &Series::events,
                            [](auto i) { return toString(static_cast<CoreEvent>(i)); });
+        m_d->writeControlEvents(out);
         for (std::size_t sample = 0; sample < SampleMetrics.size(); ++sample) {
             m_d->writeSummary(out, sample);
         }
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "config/declaration.h"
+#include "core/control/controlhooks.h"
 #include "core/corehooks.h"
 #include "core/reasons.h"
 
@@ -42,6 +43,8 @@
 
 /// Returns the name of an event in lower case with underscores. Thread safety: reentrant.
 std::string_view toString(CoreEvent event);
+/// Returns the name of an event in lower case with underscores. Thread safety: reentrant.
+std::string_view toString(ControlEvent event);
 
 /// Returns every metric of a balancer. Thread safety: reentrant.
 const std::vector<MetricInfo> &metricInfos();
@@ -67,6 +70,7 @@
     void countRefusal(RefusalReason reason, ServiceId service, ClassId workClass);
     void countRetry(RetryReason reason, ServiceId service, ClassId workClass);
     void countEvent(CoreEvent event, ServiceId service, ClassId workClass);
+    void countControlEvent(ControlEvent event);
     void observe(CoreSample sample, ServiceId service, ClassId workClass, Milliseconds duration);
 
     /// Returns all metrics and @p gauges in the Prometheus text format, version 0.0.4.
--- a/src/platform/envelope.cpp
+++ b/src/platform/envelope.cpp
@@ -19,12 +19,12 @@
     try {
         const Json object = Json::parse(json);
         Envelope envelope{Revision{object.at("revision").get<std::uint64_t>()},
-                          object.value("change_id", ""),
+                          object.value("change", ""),
                           object.at("declaration").get<std::string>(),
                           {}};
         for (const Json &entry : object.value("history", Json::array())) {
             envelope.history.push_back({Revision{entry.at("revision").get<std::uint64_t>()},
-                                        entry.at("change_id").get<std::string>(),
+                                        entry.at("change").get<std::string>(),
                                         entry.at("author").get<std::string>(),
                                         Milliseconds{entry.at("time_ms").get<std::int64_t>()}});
         }
@@ -39,12 +39,12 @@
     Json history = Json::array();
     for (const HistoryEntry &entry : envelope.history) {
         history.push_back({{"revision", entry.revision.value},
-                           {"change_id", entry.changeId},
+                           {"change", entry.changeId},
                            {"author", entry.author},
                            {"time_ms", entry.time.value}});
     }
     const Json object = {{"revision", envelope.revision.value},
-                         {"change_id", envelope.changeId},
+                         {"change", envelope.changeId},
                          {"declaration", envelope.declaration},
                          {"history", std::move(history)}};
     // An author in another encoding must not make a change fail.
--- a/tests/metrics/metrics_test.cpp
+++ b/tests/metrics/metrics_test.cpp
@@ -119,6 +119,9 @@
     for (int i = 0; i < CoreEventCount; ++i) {
         existing.emplace(toString(static_cast<CoreEvent>(i)));
     }
+    for (int i = 0; i < ControlEventCount; ++i) {
+        existing.emplace(toString(static_cast<ControlEvent>(i)));
+    }
     EXPECT_EQ(documented, existing);
 }
 
