--- a/src/admin/adminserver.cpp
+++ b/src/admin/adminserver.cpp
@@ -10,6 +10,8 @@
 
 struct ServerTraits : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>
 {
+    // RESTinio looks for this name.
+    // NOLINTNEXTLINE(readability-identifier-naming)
     static constexpr bool use_connection_count_limiter = true;
 };
 
--- a/src/apps/balancerlog.cpp
+++ b/src/apps/balancerlog.cpp
@@ -144,7 +144,7 @@
                 {{"change", change.changeId},
                  {"author", change.author},
                  {"revision", std::to_string(result.revision.value)},
-                 {"reason", result.reason}});
+                 {"reason", result.reason.empty() ? "none" : result.reason}});
 }
 
 bool BalancerLog::checkPlatform()
--- a/src/apps/damaskhallctl.cpp
+++ b/src/apps/damaskhallctl.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <random>
+#include <unistd.h>
 
 using namespace damaskhall;
 
@@ -35,7 +36,8 @@
         environment.random = [device = std::make_shared<std::random_device>()] {
             return std::uint64_t{(*device)()} << 32 | (*device)();
         };
-        environment.author = variable("USER", "unknown");
+        environment.author =
+                variable("USER", variable("LOGNAME", "uid-" + std::to_string(getuid())));
         environment.defaultAdmin = variable("DAMASKHALL_ADMIN", "127.0.0.1:9001");
         environment.out = &std::cout;
         environment.err = &std::cerr;
