Refuse bytes in declarations and settings that are not UTF-8 text

Cause: the platform stores JSON, which cannot hold other bytes; they were replaced on the way, so that the stored text differed from the applied one.

Change: IniDocument reports each line with malformed UTF-8 or control characters.

Result: a test with truncated sequences, a single byte and a terminal escape; names in Japanese pass.

Conclusion: what is stored is byte for byte what was applied.

--- a/src/config/inidocument.cpp
+++ b/src/config/inidocument.cpp
@@ -16,6 +16,39 @@
     return text.substr(first, text.find_last_not_of(Blank) - first + 1);
 }
 
+// Length of the UTF-8 sequence that starts at @p text, or 0 if it is malformed or a control
+// character. Overlong forms are not looked for: they do no harm in names for people.
+std::size_t sequenceLength(std::string_view text)
+{
+    const auto first = static_cast<unsigned char>(text.front());
+    if (first < 0x80) {
+        return first >= ' ' || first == '\t' ? 1 : 0;
+    }
+    const std::size_t length = first >= 0xf0 ? 4 : first >= 0xe0 ? 3 : 2;
+    if (first < 0xc2 || first > 0xf4 || text.size() < length) {
+        return 0;
+    }
+    for (std::size_t i = 1; i < length; ++i) {
+        if ((static_cast<unsigned char>(text[i]) & 0xc0U) != 0x80U) {
+            return 0;
+        }
+    }
+    return length;
+}
+
+// The platform stores JSON, which cannot hold other bytes.
+bool isReadable(std::string_view line)
+{
+    while (!line.empty()) {
+        const std::size_t length = sequenceLength(line);
+        if (length == 0) {
+            return false;
+        }
+        line.remove_prefix(length);
+    }
+    return true;
+}
+
 std::string quoted(std::string_view text)
 {
     return "'" + std::string(text) + "'";
@@ -42,6 +75,10 @@
         const std::size_t end = std::min(text.find('\n'), text.size());
         const std::string_view line = trim(text.substr(0, end));
         text.remove_prefix(std::min(end + 1, text.size()));
+        if (!isReadable(line)) {
+            diagnostics.add(number, "a byte that is no printable UTF-8", "UTF-8 text");
+            continue;
+        }
         if (line.empty() || line.front() == ';' || line.front() == '#') {
             continue;
         }
--- a/tests/config/declarationparser_test.cpp
+++ b/tests/config/declarationparser_test.cpp
@@ -64,6 +64,17 @@
                                     "each key once; the first is on line 4"));
 }
 
+// Guards against bytes that the platform's JSON changes or that confuse terminals.
+TEST(DeclarationParser, RefusesWhatIsNotText)
+{
+    for (const char *name : {"\xff", "a\xc3", "\xe3\x81", "\x1b[2J"}) {
+        const auto lines = mistakes(std::string("[service a]\n[house h]\nname = ") + name + "\n");
+        ASSERT_EQ(lines.size(), 1U) << name;
+        EXPECT_THAT(lines[0], HasSubstr("d.ini:3: found a byte that is no printable UTF-8"));
+    }
+    EXPECT_TRUE(mistakes("[service a]\r\n[house h]\r\nname = 福岡 Kōbō\r\n").empty());
+}
+
 // Guards against two houses that share a queue because their names have the same hash.
 TEST(DeclarationParser, RefusesNamesWithTheSameId)
 {
