--- a/fakes/fakeupstream.cpp
+++ b/fakes/fakeupstream.cpp
@@ -55,16 +55,7 @@
         m_toFabric(KeepaliveReply{keepalive->inner.token, feed.caller, feed.sequence});
     } else if (const auto *chunk = std::get_if<Forwarded<UploadChunk>>(&frame)) {
         checkService(chunk->service);
-        if (m_received.count(chunk->inner.token) == 0) {
-            m_lastNewWork = m_events.now();
-        }
-        std::uint64_t &received = m_received[chunk->inner.token];
-        if (chunk->inner.offset <= received) {
-            received = std::max(received, chunk->inner.offset + chunk->inner.body.size());
-        }
-        const bool isStored = received >= chunk->inner.total;
-        m_stored[chunk->inner.token] = isStored;
-        m_toFabric(UploadAck{chunk->inner.token, chunk->caller, received, isStored});
+        handleChunk(chunk->inner, chunk->caller);
     } else if (const auto *close = std::get_if<Forwarded<Close>>(&frame)) {
         m_feeds.erase(close->inner.token);
     } else if (const auto *probe = std::get_if<Probe>(&frame)) {
@@ -78,6 +69,25 @@
     }
 }
 
+void FakeUpstream::handleChunk(const UploadChunk &chunk, Endpoint caller)
+{
+    if (m_received.count(chunk.token) == 0) {
+        m_lastNewWork = m_events.now();
+    }
+    std::string &received = m_received[chunk.token];
+    // A chunk that starts after a gap is dropped; the acknowledged offset makes the caller repeat.
+    const std::uint64_t end = chunk.offset + chunk.body.size();
+    if (chunk.offset <= received.size() && end > received.size()) {
+        received += chunk.body.substr(received.size() - chunk.offset);
+    }
+    const bool isStored = received.size() >= chunk.total;
+    m_stored[chunk.token] = isStored;
+    if (isStored) {
+        m_storedBodies.insert(received);
+    }
+    m_toFabric(UploadAck{chunk.token, caller, received.size(), isStored});
+}
+
 void FakeUpstream::handleRequest(const UpstreamRequest &request, Endpoint from)
 {
     ++m_tries[request.body];
--- a/fakes/fakeupstream.h
+++ b/fakes/fakeupstream.h
@@ -7,7 +7,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace damaskhall::fakes {
 
@@ -65,6 +67,8 @@
     Milliseconds lastNewWork() const { return m_lastNewWork; }
     /// Uploads that are stored, by token.
     const std::map<SealedToken, bool> &uploads() const { return m_stored; }
+    /// Bodies of all stored uploads.
+    const std::set<std::string> &storedBodies() const { return m_storedBodies; }
     std::uint64_t wrongServicePackets() const { return m_wrongService; }
 
 private:
@@ -88,6 +92,7 @@
     };
 
     void handleRequest(const UpstreamRequest &request, Endpoint from);
+    void handleChunk(const UploadChunk &chunk, Endpoint caller);
     void run(const UpstreamRequest &request, Endpoint owner);
     double workOf(const std::string &body);
     void finish(AttemptId attempt, const std::string &body, Endpoint owner);
@@ -110,8 +115,9 @@
     std::map<std::string, Milliseconds> m_completions;
     std::map<AttemptId, Reply> m_replies;
     std::map<SealedToken, Feed> m_feeds;
-    std::map<SealedToken, std::uint64_t> m_received;
+    std::map<SealedToken, std::string> m_received;
     std::map<SealedToken, bool> m_stored;
+    std::set<std::string> m_storedBodies;
     std::vector<Queued> m_queue;
 };
 
--- a/fakes/session.cpp
+++ b/fakes/session.cpp
@@ -276,6 +276,17 @@
     return client;
 }
 
+UploadClient &Session::startUpload(const Reserve &reservation, const std::string &body)
+{
+    UploadClient &client = m_uploads.emplace_back(reservation, body, m_events.now());
+    const Endpoint caller{m_nextCallerAddress, m_nextCallerPort++};
+    m_uploadByCaller[caller] = &client;
+    std::vector<Frame> frames;
+    client.tick(m_events.now(), frames);
+    sendFromCaller(caller, frames);
+    return client;
+}
+
 void Session::inject(const Frame &frame, Endpoint caller, int index)
 {
     if (index < 0) {
@@ -302,6 +313,10 @@
         feed->tick(m_events.now(), frames);
         sendFromCaller(caller, frames);
     }
+    for (auto &[caller, upload] : m_uploadByCaller) {
+        upload->tick(m_events.now(), frames);
+        sendFromCaller(caller, frames);
+    }
     m_events.schedule(m_events.now() + TickInterval, [this] { tickClients(); });
 }
 
@@ -438,6 +453,10 @@
     if (feed != m_feedByCaller.end()) {
         feed->second->handle(frame, m_events.now(), frames);
     }
+    const auto upload = m_uploadByCaller.find(caller);
+    if (upload != m_uploadByCaller.end()) {
+        upload->second->handle(frame, m_events.now(), frames);
+    }
     sendFromCaller(caller, frames);
 }
 
--- a/fakes/session.h
+++ b/fakes/session.h
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "client/feedclient.h"
 #include "client/requestclient.h"
+#include "client/uploadclient.h"
 #include "core/router.h"
 #include "fakes/eventqueue.h"
 #include "fakes/fakeupstream.h"
@@ -71,6 +72,7 @@
     // Callers. Returned references stay valid.
     RequestClient &startRequest(const Reserve &reservation, const std::string &body);
     FeedClient &startFeed(const Open &open);
+    UploadClient &startUpload(const Reserve &reservation, const std::string &body);
     /// Sets a hook that is called once for each request that is finished, at that time.
     void setFinishedHook(std::function<void(const RequestClient &)> hook)
     {
@@ -97,6 +99,7 @@
     }
     const std::list<RequestClient> &requests() const { return m_requests; }
     const std::list<FeedClient> &feeds() const { return m_feeds; }
+    const std::list<UploadClient> &uploads() const { return m_uploads; }
     const std::map<RefusalReason, std::uint64_t> &refusals() const { return m_refusals; }
     const std::map<RetryReason, std::uint64_t> &retries() const { return m_retries; }
     const std::map<CoreEvent, std::uint64_t> &coreEvents() const { return m_coreEvents; }
@@ -152,6 +155,8 @@
     std::list<FeedClient> m_feeds;
     std::map<Endpoint, RequestClient *> m_requestByCaller;
     std::map<Endpoint, FeedClient *> m_feedByCaller;
+    std::list<UploadClient> m_uploads;
+    std::map<Endpoint, UploadClient *> m_uploadByCaller;
     std::uint16_t m_nextCallerPort = 20'000;
     std::uint32_t m_nextCallerAddress = 0x0a000001;
     std::map<RefusalReason, std::uint64_t> m_refusals;
--- a/measure/damaskhall-measure.cpp
+++ b/measure/damaskhall-measure.cpp
@@ -1,6 +1,7 @@
 #include "measure/faultrows.h"
 #include "measure/flowrows.h"
 #include "measure/loadrows.h"
+#include "measure/loopbackrows.h"
 #include "measure/measurement.h"
 #include "measure/overloadrows.h"
 #include "measure/policytrials.h"
@@ -29,14 +30,17 @@
 std::vector<Experiment> experiments()
 {
     return {
-            {"policies", measurePolicies},   {"load", measureLoad},
-            {"faults", measureRandomFaults}, {"onekill", measureOneKill},
-            {"flows", measureFlows},         {"leaving", measureLeaving},
-            {"overload", measureOverload},   {"fairness", measureFairness},
+            {"policies", measurePolicies},     {"load", measureLoad},
+            {"faults", measureRandomFaults},   {"onekill", measureOneKill},
+            {"flows", measureFlows},           {"leaving", measureLeaving},
+            {"overload", measureOverload},     {"fairness", measureFairness},
+            {"forwarding", measureForwarding}, {"newflows", measureNewFlows},
+            {"flowmemory", measureFlowMemory},
     };
 }
 
-/// Runs the experiments and prints each row as it is known. Returns the number of short rows.
+/// Runs the experiments and prints each row as it is known. Returns the exit status, which does not
+/// depend on targets.
 int runExperiments(const MeasureOptions &options, const std::string &only)
 {
     std::vector<Row> rows;
--- a/measure/faultrows.cpp
+++ b/measure/faultrows.cpp
@@ -18,6 +18,10 @@
 constexpr int Feeds = 100;
 /// A request in a fleet of this load leaves room for the capacity that faults take away.
 constexpr double FaultLoad = 0.4;
+/// Uploads are delayed by faults but must be stored within this time.
+constexpr Milliseconds UploadDeadline = 60_s;
+constexpr std::uint64_t Uploads = 40;
+constexpr std::size_t UploadBytes = 20'000;
 constexpr double OneKillLoad = 0.7;
 
 struct FaultResult
@@ -26,6 +30,7 @@
     double falseNotRun = 0;
     double wrongService = 0;
     double lostOrCrossed = 0;
+    double uploadsLost = 0;
     double unknownShare = 0;
     double answeredShare = 0;
 };
@@ -90,6 +95,40 @@
     return result;
 }
 
+/// An upload of which each body is different.
+std::string uploadBody(std::uint64_t number)
+{
+    return std::string(UploadBytes, 'x') + std::to_string(number);
+}
+
+void startUploads(fakes::Session &session, Milliseconds duration)
+{
+    constexpr std::uint64_t FirstUpload = 10'000'000;
+    for (std::uint64_t i = 0; i < Uploads; ++i) {
+        const Milliseconds at = duration * static_cast<std::int64_t>(i) / Uploads;
+        session.events().schedule(at, [&session, i] {
+            session.startUpload(
+                    reservation(FirstUpload + i, DeskService, "artwork", UploadDeadline),
+                    uploadBody(i));
+        });
+    }
+}
+
+/// Counts uploads that were not stored, or whose caller was told so although no upstream has them.
+double lostUploads(const fakes::Session &session)
+{
+    double lost = 0;
+    std::uint64_t number = 0;
+    for (const UploadClient &upload : session.uploads()) {
+        const std::string body = uploadBody(number++);
+        const bool isStored = std::any_of(
+                session.upstreams().begin(), session.upstreams().end(),
+                [&](const auto &entry) { return entry.second->storedBodies().count(body) != 0; });
+        lost += upload.phase() != UploadPhase::Stored || !isStored ? 1 : 0;
+    }
+    return lost;
+}
+
 FaultResult runFaults(std::uint64_t seed, Milliseconds duration)
 {
     fakes::SessionOptions options;
@@ -113,9 +152,12 @@
         session.startFeed({FlowId{flow}, serviceId(BoardService), classId(BoardService, "queue"),
                            houseId("benches")});
     }
+    startUploads(session, duration);
     faults.start(1_s, duration);
-    session.runFor(duration + Deadline + 2_s);
-    return evaluate(session, faults, load, lookups);
+    session.runFor(duration + UploadDeadline + 2_s);
+    FaultResult result = evaluate(session, faults, load, lookups);
+    result.uploadsLost = lostUploads(session);
+    return result;
 }
 
 struct OneKillResult
@@ -166,7 +208,7 @@
     };
     const auto results = runSeeds(options, experiment);
     const std::string inputs = "balancers=9 upstreams=14+4 load=40% loss=1% duplication=1% "
-                               "jitter_ms=5 faults_per_s=1 feeds=100 duration_s=" +
+                               "jitter_ms=5 faults_per_s=1 feeds=100 uploads=40 duration_s=" +
                                std::to_string(duration.value / 1000);
     std::vector<Row> rows;
     append(rows, summarise({"doubled_requests", "count", 0, Bound::AtMost},
@@ -177,6 +219,8 @@
                            column(results, &FaultResult::wrongService), inputs));
     append(rows, summarise({"answers_lost_or_crossed", "count", 0, Bound::AtMost},
                            column(results, &FaultResult::lostOrCrossed), inputs));
+    append(rows, summarise({"uploads_lost", "count", 0, Bound::AtMost},
+                           column(results, &FaultResult::uploadsLost), inputs));
     append(rows, summarise({"fault_unknown_share", "share"},
                            column(results, &FaultResult::unknownShare), inputs));
     append(rows, summarise({"fault_answered_share", "share"},
