Answer probes in the loopback rows

Cause: the dispatcher uses an upstream only after a probe reply, so no feed was opened, and the memory row measured refusals. Change: the loopback upstream answers probes over TCP; the memory row fails if a feed is refused and counts mapped blocks too.

--- a/measure/loopbackrows.cpp
+++ b/measure/loopbackrows.cpp
@@ -5,6 +5,7 @@
 #include "measure/loopbacksocket.h"
 #include "measure/report.h"
 #include "measure/statistics.h"
+#include "node/framestream.h"
 #include "node/trafficworker.h"
 #include "node/udpport.h"
 #include "wire/framecodec.h"
@@ -74,6 +75,11 @@
             houseId("benches")};
 }
 
+ProbeReply replyTo(const Probe &probe)
+{
+    return {probe.nonce, UpstreamId{1}, serviceId(BoardService)};
+}
+
 /// One TrafficWorker on loopback with one upstream.
 class WorkerUnderTest
 {
@@ -189,18 +195,35 @@
     return static_cast<double>(sink.received() - before) / secondsSince(start);
 }
 
-/// Upstream on loopback that answers keepalives.
+/// Upstream on loopback that answers keepalives over UDP and probes over TCP.
 class KeepaliveUpstream
 {
 public:
     KeepaliveUpstream()
-        : m_thread([this] { run(); })
     {
+        auto listener = FrameListener::open(m_context, m_socket.local(), [](FrameStream *stream) {
+            const auto answer = [stream](std::string_view message) {
+                const auto frame = decodeFrame(message);
+                const auto *probe = frame ? std::get_if<Probe>(&frame.assume_value()) : nullptr;
+                if (probe) {
+                    stream->send(encodeFrame(replyTo(*probe)));
+                }
+            };
+            return FrameStream::Handlers{answer, [] {}};
+        });
+        if (!listener) {
+            throw std::runtime_error("cannot listen for probes");
+        }
+        m_listener = std::move(listener).assume_value();
+        m_probeThread = std::thread([this] { m_context.run(); });
+        m_thread = std::thread([this] { run(); });
     }
     ~KeepaliveUpstream()
     {
         m_isStopping = true;
+        m_context.stop();
         m_thread.join();
+        m_probeThread.join();
     }
     KeepaliveUpstream(const KeepaliveUpstream &) = delete;
     KeepaliveUpstream &operator=(const KeepaliveUpstream &) = delete;
@@ -229,8 +252,11 @@
     }
 
     LoopbackSocket m_socket;
+    asio::io_context m_context{1};
+    std::unique_ptr<FrameListener> m_listener;
     std::atomic<Endpoint> m_balancer;
     std::atomic<bool> m_isStopping = false;
+    std::thread m_probeThread;
     std::thread m_thread;
 };
 
@@ -354,35 +380,77 @@
     std::uint64_t m_dropped = 0;
 };
 
+double allocatedBytes()
+{
+    const auto info = mallinfo2();
+    return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
+/// One router whose upstream answers probes.
+class RouterUnderTest
+{
+public:
+    explicit RouterUnderTest(std::uint64_t seed)
+        : m_sealer({0, {{0, TokenKey{}}}})
+        , m_router(InstanceId{0}, Incarnation{1}, realHooks(m_sealer, seed))
+    {
+        m_router.setView(viewOf({0x7f000001, 7000}, m_upstream));
+        tick();
+    }
+
+    /// Opens a feed and sends its first keepalive. Returns whether the feed was opened.
+    bool open(std::uint64_t flow)
+    {
+        const Endpoint caller{0x0a000001 + static_cast<std::uint32_t>(flow >> 14),
+                              static_cast<std::uint16_t>(10'000 + flow % 16'384)};
+        Actions replies;
+        m_router.handle(openFeed(flow), caller, m_now, replies);
+        for (const Send &reply : replies) {
+            if (const auto *opened = std::get_if<OpenReply>(&reply.frame)) {
+                Actions forwarded;
+                m_router.handle(Keepalive{opened->token, 0}, caller, m_now, forwarded);
+                return !forwarded.empty();
+            }
+        }
+        return false;
+    }
+
+    void tick()
+    {
+        m_now += 10_ms;
+        Actions actions;
+        m_router.tick(m_now, actions);
+        for (const Send &action : actions) {
+            if (const auto *probe = std::get_if<Probe>(&action.frame)) {
+                Actions ignored;
+                m_router.handle(replyTo(*probe), m_upstream, m_now, ignored);
+            }
+        }
+    }
+
+private:
+    const Endpoint m_upstream{0x7f000001, 7300};
+    TokenSealer m_sealer;
+    Router m_router;
+    Milliseconds m_now;
+};
+
 /// Opens @p flows feeds at a router, each followed by a keepalive, and returns the memory that the
 /// router then holds per feed. The callers' and upstreams' ends are not counted.
 double bytesPerFlow(std::uint64_t flows, std::uint64_t seed)
 {
-    const TokenSealer sealer({0, {{0, TokenKey{}}}});
-    const Endpoint self{0x7f000001, 7000};
-    const Endpoint upstream{0x7f000001, 7300};
-    Router router(InstanceId{0}, Incarnation{1}, realHooks(sealer, seed));
-    router.setView(viewOf(self, upstream));
-    Actions actions;
-    router.tick(1_ms, actions);
-    actions = {};
-    const auto before = static_cast<double>(mallinfo2().uordblks);
+    constexpr std::uint64_t FlowsPerTick = 100;
+    RouterUnderTest router(seed);
+    const double before = allocatedBytes();
     for (std::uint64_t flow = 1; flow <= flows; ++flow) {
-        const Milliseconds now{static_cast<std::int64_t>(1 + flow / 10)};
-        const Endpoint caller{0x0a000001 + static_cast<std::uint32_t>(flow >> 14),
-                              static_cast<std::uint16_t>(10'000 + flow % 16'384)};
-        router.handle(openFeed(flow), caller, now, actions);
-        for (const Send &action : Actions(std::move(actions))) {
-            const auto *opened = std::get_if<OpenReply>(&action.frame);
-            if (opened) {
-                actions.clear();
-                router.handle(Keepalive{opened->token, 0}, caller, now, actions);
-            }
+        if (!router.open(flow)) {
+            throw std::runtime_error("the router refused a feed");
+        }
+        if (flow % FlowsPerTick == 0) {
+            router.tick();
         }
-        actions.clear();
     }
-    actions = {};
-    const auto after = static_cast<double>(mallinfo2().uordblks);
+    const double after = allocatedBytes();
     return std::max(0.0, after - before) / static_cast<double>(flows);
 }
 
