--- a/measure/damaskhall-measure.cpp
+++ b/measure/damaskhall-measure.cpp
@@ -1,3 +1,4 @@
+#include "measure/controlfleet.h"
 #include "measure/faultrows.h"
 #include "measure/flowrows.h"
 #include "measure/loadrows.h"
@@ -7,6 +8,7 @@
 #include "measure/policytrials.h"
 #include "measure/report.h"
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <exception>
 #include <fstream>
@@ -35,17 +37,19 @@
             {"flows", measureFlows},           {"leaving", measureLeaving},
             {"overload", measureOverload},     {"fairness", measureFairness},
             {"forwarding", measureForwarding}, {"newflows", measureNewFlows},
-            {"flowmemory", measureFlowMemory},
+            {"flowmemory", measureFlowMemory}, {"control", measureControlFleet},
     };
 }
 
 /// Runs the experiments and prints each row as it is known. Returns the exit status, which does not
 /// depend on targets.
-int runExperiments(const MeasureOptions &options, const std::string &only)
+int runExperiments(const MeasureOptions &options, const std::vector<std::string> &only)
 {
     std::vector<Row> rows;
     for (const Experiment &experiment : experiments()) {
-        if (!only.empty() && experiment.name != only) {
+        const bool isWanted =
+                only.empty() || std::find(only.begin(), only.end(), experiment.name) != only.end();
+        if (!isWanted) {
             continue;
         }
         for (const Row &row : experiment.run(options)) {
@@ -54,7 +58,7 @@
         }
     }
     if (rows.empty()) {
-        std::cerr << "measure: no experiment named " << only << "; see --list\n";
+        std::cerr << "measure: no such experiment; see --list\n";
         return 1;
     }
     std::ofstream file(ResultsFile);
@@ -70,13 +74,13 @@
 {
     namespace po = boost::program_options;
     MeasureOptions options;
-    std::string only;
+    std::vector<std::string> only;
     po::options_description description("Prints NAME VALUE UNIT TARGET ok|short per figure");
     description.add_options()("help", "show this help")("list", "list the experiments")(
             "seed", po::value(&options.seed), "first seed")("seeds", po::value(&options.seeds),
                                                             "seeds per figure")(
-            "quick", po::bool_switch(&options.quick),
-            "shorter runs and fewer seeds")("only", po::value(&only), "run one experiment");
+            "quick", po::bool_switch(&options.quick), "shorter runs and fewer seeds")(
+            "only", po::value(&only), "run only this experiment; may be repeated");
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, description), values);
     po::notify(values);
