Show the share of hops in the overload rows

Cause: goodput_overload is short with 6% of the slot time idle; the cause had to be told apart. Change: a third set of overload rows without delay between balancers and upstreams.

--- a/measure/overloadrows.cpp
+++ b/measure/overloadrows.cpp
@@ -77,6 +77,15 @@
     double m_inTime = 0;
 };
 
+/// What differs between the overload runs.
+struct OverloadCase
+{
+    /// Tells the rows of the runs apart.
+    std::string suffix;
+    double randomSheds = 0;
+    Milliseconds innerLatency = 1_ms;
+};
+
 struct OverloadResult
 {
     double total = 0;
@@ -105,12 +114,14 @@
     return tries.empty() ? 0 : sum / static_cast<double>(tries.size());
 }
 
-OverloadResult runOverload(std::uint64_t seed, double randomSheds, Milliseconds warmUp,
+OverloadResult runOverload(std::uint64_t seed, const OverloadCase &setting, Milliseconds warmUp,
                            Milliseconds duration)
 {
-    fakes::Session session(fleetOptions(seed), fleetDeclaration());
+    fakes::SessionOptions options = fleetOptions(seed);
+    options.innerLatency = setting.innerLatency;
+    fakes::Session session(options, fleetDeclaration());
     BoardOptions board;
-    board.randomSheds = randomSheds;
+    board.randomSheds = setting.randomSheds;
     addBoard(session, board);
     RequestLoad load(session, seededRandom(seed + 2));
     session.runFor(100_ms);
@@ -208,19 +219,19 @@
     return result;
 }
 
-/// Rows of one run set. @p suffix tells them apart.
-std::vector<Row> measureOverloadWith(const MeasureOptions &options, double randomSheds,
-                                     const std::string &suffix)
+std::vector<Row> measureOverloadWith(const MeasureOptions &options, const OverloadCase &setting)
 {
+    const std::string &suffix = setting.suffix;
     const Milliseconds warmUp = options.quick ? 5_s : 10_s;
     const Milliseconds duration = options.quick ? 15_s : 40_s;
     const std::function<OverloadResult(std::uint64_t)> experiment = [&](std::uint64_t seed) {
-        return runOverload(seed, randomSheds, warmUp, duration);
+        return runOverload(seed, setting, warmUp, duration);
     };
     const auto results = runSeeds(options, experiment);
     const std::string inputs = "balancers=9 upstreams=14 load=200% claims=50% lookups=150% "
                                "feeds=200 random_sheds=" +
-                               std::to_string(randomSheds) +
+                               std::to_string(setting.randomSheds) +
+                               " inner_ms=" + std::to_string(setting.innerLatency.value) +
                                " measured_s=" + std::to_string((duration - warmUp).value / 1000);
     const auto goodput = [&](const std::string &name) {
         return Figure{"goodput_overload." + name + suffix, "ratio", 0.95, Bound::AtLeast};
@@ -247,8 +258,10 @@
 
 std::vector<Row> measureOverload(const MeasureOptions &options)
 {
-    std::vector<Row> rows = measureOverloadWith(options, 0, "");
-    append(rows, measureOverloadWith(options, RandomSheds, ".random_sheds"));
+    std::vector<Row> rows = measureOverloadWith(options, {});
+    append(rows, measureOverloadWith(options, {".random_sheds", RandomSheds, 1_ms}));
+    // Shows how much of the loss is the time in which a slot waits for two hops.
+    append(rows, measureOverloadWith(options, {".inner_0ms", 0, 0_ms}));
     return rows;
 }
 
