--- a/measure/flowrows.cpp
+++ b/measure/flowrows.cpp
@@ -93,7 +93,7 @@
         for (const FeedClient *feed : m_feeds) {
             const Milliseconds silence = feed->silence(m_session.events().now());
             m_worstSilence = std::max(m_worstSilence, silence);
-            if (!feed->isOpen() || silence > BrokenAfter) {
+            if (!feed->isOpen() || feed->broken() > 0 || silence > BrokenAfter) {
                 m_broken.insert(feed);
             }
         }
