Verify an upstream's identity before anything is sent to it

Change: a new connection to an upstream first carries a probe; requests and flow frames are sent only while a connection stands whose probe the expected upstream id and service have answered. The model drops frames to an address that another upstream took over.

Residual: a host that vanishes without closing its connection and whose address is taken over before the path counts as silent (1,500 ms) can still get flow datagrams.

--- a/fakes/session.cpp
+++ b/fakes/session.cpp
@@ -401,7 +401,9 @@
                      [this, to = action.to](const Frame &frame) { deliverToCaller(to, frame); });
         } else if (action.destination == Destination::Upstream) {
             const auto id = m_upstreamByEndpoint.find(action.to);
-            if (id == m_upstreamByEndpoint.end()) {
+            // A connection is verified before use, so that no frame reaches another upstream that
+            // took over the address.
+            if (id == m_upstreamByEndpoint.end() || id->second != action.upstream) {
                 continue;
             }
             // A datagram goes to whichever upstream has the address when it arrives, a frame on a
--- a/measure/loopbackrows.cpp
+++ b/measure/loopbackrows.cpp
@@ -140,12 +140,49 @@
     std::thread m_thread;
 };
 
+/// Answers probes over TCP at an upstream's address; a balancer sends nothing before.
+class ProbeResponder
+{
+public:
+    explicit ProbeResponder(Endpoint local)
+    {
+        auto listener = FrameListener::open(m_context, local, [](FrameStream *stream) {
+            const auto answer = [stream](std::string_view message) {
+                const auto frame = decodeFrame(message);
+                const auto *probe = frame ? std::get_if<Probe>(&frame.assume_value()) : nullptr;
+                if (probe) {
+                    stream->send(encodeFrame(replyTo(*probe)));
+                }
+            };
+            return FrameStream::Handlers{answer, [] {}};
+        });
+        if (!listener) {
+            throw std::runtime_error("cannot listen for probes");
+        }
+        m_listener = std::move(listener).assume_value();
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+    ~ProbeResponder()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+    ProbeResponder(const ProbeResponder &) = delete;
+    ProbeResponder &operator=(const ProbeResponder &) = delete;
+
+private:
+    asio::io_context m_context{1};
+    std::unique_ptr<FrameListener> m_listener;
+    std::thread m_thread;
+};
+
 /// Counts the datagrams that arrive at a socket.
 class CountingSink
 {
 public:
     CountingSink()
-        : m_thread([this] {
+        : m_probes(m_socket.local())
+        , m_thread([this] {
             while (!m_isStopping) {
                 if (m_socket.receive()) {
                     ++m_received;
@@ -167,6 +204,7 @@
 
 private:
     LoopbackSocket m_socket;
+    ProbeResponder m_probes;
     std::atomic<bool> m_isStopping = false;
     std::atomic<std::uint64_t> m_received = 0;
     std::thread m_thread;
@@ -200,30 +238,14 @@
 {
 public:
     KeepaliveUpstream()
+        : m_probes(m_socket.local())
+        , m_thread([this] { run(); })
     {
-        auto listener = FrameListener::open(m_context, m_socket.local(), [](FrameStream *stream) {
-            const auto answer = [stream](std::string_view message) {
-                const auto frame = decodeFrame(message);
-                const auto *probe = frame ? std::get_if<Probe>(&frame.assume_value()) : nullptr;
-                if (probe) {
-                    stream->send(encodeFrame(replyTo(*probe)));
-                }
-            };
-            return FrameStream::Handlers{answer, [] {}};
-        });
-        if (!listener) {
-            throw std::runtime_error("cannot listen for probes");
-        }
-        m_listener = std::move(listener).assume_value();
-        m_probeThread = std::thread([this] { m_context.run(); });
-        m_thread = std::thread([this] { run(); });
     }
     ~KeepaliveUpstream()
     {
         m_isStopping = true;
-        m_context.stop();
         m_thread.join();
-        m_probeThread.join();
     }
     KeepaliveUpstream(const KeepaliveUpstream &) = delete;
     KeepaliveUpstream &operator=(const KeepaliveUpstream &) = delete;
@@ -252,11 +274,9 @@
     }
 
     LoopbackSocket m_socket;
-    asio::io_context m_context{1};
-    std::unique_ptr<FrameListener> m_listener;
+    ProbeResponder m_probes;
     std::atomic<Endpoint> m_balancer;
     std::atomic<bool> m_isStopping = false;
-    std::thread m_probeThread;
     std::thread m_thread;
 };
 
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -31,6 +31,9 @@
     /// Counts a datagram that could not be decoded.
     void handleUndecodable(const Error &error);
 
+    /// Counts an upstream address at which another upstream answered.
+    void handleWrongService() { drop(RefusalReason::WrongService); }
+
     /// Runs timers. Call at least every 10 ms.
     void tick(Milliseconds now, Actions &actions);
 
--- a/src/node/trafficworker.cpp
+++ b/src/node/trafficworker.cpp
@@ -105,7 +105,10 @@
     {
         auto &path = paths[action.upstream];
         if (!path) {
-            path = std::make_unique<UpstreamPath>(context, clock, action.to,
+            const UpstreamView *listed = view->findUpstream(action.upstream);
+            const UpstreamIdentity identity{action.upstream,
+                                            listed ? listed->service : ServiceId{}};
+            path = std::make_unique<UpstreamPath>(context, clock, action.to, identity,
                                                   pathHandlers(action.upstream));
         }
         return *path;
@@ -123,6 +126,7 @@
         handlers.notWritten = [this, upstream](const UpstreamRequest &request, ReplyStatus reply) {
             notWritten.emplace_back(upstream, UpstreamReply{request.attempt, reply, 0, 1, {}});
         };
+        handlers.mismatched = [this] { router.handleWrongService(); };
         return handlers;
     }
 
--- a/src/node/upstreampath.cpp
+++ b/src/node/upstreampath.cpp
@@ -10,32 +10,37 @@
 
 /// Frames that may wait for a connection to be established.
 constexpr std::size_t MaxWaiting = 256;
+/// Time for the connection and the identity of its peer.
 constexpr Milliseconds ConnectTimeout = 1_s;
 /// Pause before an upstream that refused a connection is tried again.
 constexpr Milliseconds ReconnectInterval = 200_ms;
+/// Nonce of the probe that asks for the peer's identity; other probes have random ones.
+constexpr std::uint64_t IdentityNonce = 0;
 
 } // namespace
 
-UpstreamPath::UpstreamPath(asio::io_context &context, Clock clock, Endpoint peer, Handlers handlers)
+UpstreamPath::UpstreamPath(asio::io_context &context, Clock clock, Endpoint peer,
+                           UpstreamIdentity identity, Handlers handlers)
     : m_context(context)
     , m_clock(std::move(clock))
     , m_peer(peer)
+    , m_identity(identity)
     , m_handlers(std::move(handlers))
 {
 }
 
 void UpstreamPath::send(const Frame &frame, PathChannel channel, Milliseconds decidedAt)
 {
-    if (channel == PathChannel::Stream) {
-        sendOnStream(frame, decidedAt);
-        return;
-    }
-    if (!m_datagrams) {
-        openDatagrams();
+    dropClosedStream();
+    if (!m_stream && m_clock.now() >= m_nextConnect) {
+        connect();
     }
-    if (m_datagrams) {
-        m_datagrams->queue(encodeFrame(frame), m_peer);
-        m_handlers.written(frame);
+    if (!m_stream || m_waiting.size() >= MaxWaiting) {
+        reportNotWritten(frame, ReplyStatus::Shed);
+    } else if (isVerified() && m_waiting.empty()) {
+        write({frame, channel, decidedAt});
+    } else {
+        m_waiting.push_back({frame, channel, decidedAt});
     }
 }
 
@@ -46,25 +51,40 @@
     }
 }
 
-void UpstreamPath::sendOnStream(const Frame &frame, Milliseconds decidedAt)
+bool UpstreamPath::isVerified() const
 {
-    if (m_isClosed) {
+    return m_isIdentified && m_stream && m_stream->isConnected();
+}
+
+void UpstreamPath::dropClosedStream()
+{
+    if (std::exchange(m_isClosed, false)) {
         m_stream.reset();
-        m_isClosed = false;
-    }
-    if (!m_stream && m_clock.now() >= m_nextConnect) {
-        connect();
+        m_isIdentified = false;
     }
-    if (!m_stream || m_waiting.size() >= MaxWaiting) {
-        reportNotWritten(frame, ReplyStatus::Shed);
-    } else if (m_stream->isConnected() && m_waiting.empty()) {
-        write(frame, decidedAt);
+}
+
+void UpstreamPath::write(const Waiting &entry)
+{
+    if (entry.channel == PathChannel::Stream) {
+        writeOnStream(entry.frame, entry.decidedAt);
     } else {
-        m_waiting.push_back({frame, decidedAt});
+        queueDatagram(entry.frame);
     }
 }
 
-void UpstreamPath::write(const Frame &frame, Milliseconds decidedAt)
+void UpstreamPath::queueDatagram(const Frame &frame)
+{
+    if (!m_datagrams) {
+        openDatagrams();
+    }
+    if (m_datagrams) {
+        m_datagrams->queue(encodeFrame(frame), m_peer);
+        m_handlers.written(frame);
+    }
+}
+
+void UpstreamPath::writeOnStream(const Frame &frame, Milliseconds decidedAt)
 {
     const auto *request = std::get_if<UpstreamRequest>(&frame);
     if (!request) {
@@ -87,23 +107,24 @@
 
 void UpstreamPath::tick()
 {
-    if (m_isClosed) {
-        m_stream.reset();
-        m_isClosed = false;
+    dropClosedStream();
+    if (m_stream && m_stream->isConnected() && !m_isProbeSent) {
+        m_isProbeSent = m_stream->send(encodeFrame(Probe{IdentityNonce}));
     }
     if (m_waiting.empty()) {
         return;
     }
     std::vector<Waiting> frames;
     std::swap(frames, m_waiting);
-    if (m_stream && m_stream->isConnected()) {
+    if (isVerified()) {
         for (const Waiting &entry : frames) {
-            write(entry.frame, entry.decidedAt);
+            write(entry);
         }
         return;
     }
     if (!m_stream || m_clock.now() - m_connectStarted >= ConnectTimeout) {
         m_stream.reset();
+        m_isIdentified = false;
         giveUp(frames);
         return;
     }
@@ -118,6 +139,7 @@
     m_oldStream = std::move(m_stream);
     m_oldDatagrams = std::move(m_datagrams);
     m_isClosed = false;
+    m_isIdentified = false;
     m_nextConnect = m_clock.now();
 }
 
@@ -125,10 +147,12 @@
 {
     m_connectStarted = m_clock.now();
     m_nextConnect = m_connectStarted + ReconnectInterval;
+    m_isProbeSent = false;
+    m_isIdentified = false;
     const unsigned generation = ++m_generation;
     FrameStream::Handlers handlers;
-    handlers.received = [this](std::string_view message) {
-        m_handlers.received(PathChannel::Stream, message);
+    handlers.received = [this, generation](std::string_view message) {
+        handleMessage(message, generation);
     };
     handlers.closed = [this, generation] {
         // Destroyed later: the stream is still on the call stack.
@@ -137,6 +161,28 @@
     m_stream = FrameStream::connect(m_context, m_peer, std::move(handlers));
 }
 
+void UpstreamPath::handleMessage(std::string_view message, unsigned generation)
+{
+    if (generation != m_generation || m_isIdentified) {
+        m_handlers.received(PathChannel::Stream, message);
+        return;
+    }
+    const Result<Frame> frame = decodeFrame(message);
+    const auto *reply = frame ? std::get_if<ProbeReply>(&frame.assume_value()) : nullptr;
+    if (reply) {
+        verify(*reply);
+    }
+}
+
+void UpstreamPath::verify(const ProbeReply &reply)
+{
+    m_isIdentified = reply.upstream == m_identity.id && reply.service == m_identity.service;
+    if (!m_isIdentified) {
+        m_isClosed = true;
+        m_handlers.mismatched();
+    }
+}
+
 void UpstreamPath::openDatagrams()
 {
     const auto receiver = [this](std::string_view datagram, Endpoint) {
--- a/src/node/upstreampath.h
+++ b/src/node/upstreampath.h
@@ -12,8 +12,18 @@
 
 namespace damaskhall {
 
+/// Who must answer at the other end of a path.
+struct UpstreamIdentity
+{
+    UpstreamId id;
+    ServiceId service;
+};
+
 /// Connections of one balancer to one upstream: a TCP connection and a UDP socket, opened when they
-/// are first used. Thread safety: all calls come from the thread that runs the io_context.
+/// are first used. A new connection first carries a probe; other frames, datagrams included, are
+/// sent only while a connection stands whose probe the expected upstream has answered. Addresses
+/// are reused, and a frame must not reach the service that took one over. Thread safety: all calls
+/// come from the thread that runs the io_context.
 class UpstreamPath
 {
 public:
@@ -26,10 +36,13 @@
         /// Called for a request of which no byte was written, with the reason as the upstream
         /// would give it: Expired if its deadline has passed, otherwise Shed.
         std::function<void(const UpstreamRequest &request, ReplyStatus status)> notWritten;
+        /// Called when another upstream answered at the address.
+        std::function<void()> mismatched;
     };
 
     /// Preconditions: all handlers are set; they must not destroy the object.
-    UpstreamPath(asio::io_context &context, Clock clock, Endpoint peer, Handlers handlers);
+    UpstreamPath(asio::io_context &context, Clock clock, Endpoint peer, UpstreamIdentity identity,
+                 Handlers handlers);
     UpstreamPath(const UpstreamPath &) = delete;
     UpstreamPath &operator=(const UpstreamPath &) = delete;
 
@@ -53,11 +66,17 @@
     struct Waiting
     {
         Frame frame;
+        PathChannel channel = PathChannel::Stream;
         Milliseconds decidedAt;
     };
 
-    void sendOnStream(const Frame &frame, Milliseconds decidedAt);
-    void write(const Frame &frame, Milliseconds decidedAt);
+    bool isVerified() const;
+    void handleMessage(std::string_view message, unsigned generation);
+    void verify(const ProbeReply &reply);
+    void dropClosedStream();
+    void write(const Waiting &entry);
+    void writeOnStream(const Frame &frame, Milliseconds decidedAt);
+    void queueDatagram(const Frame &frame);
     void connect();
     void openDatagrams();
     void giveUp(std::vector<Waiting> &frames);
@@ -66,14 +85,17 @@
     asio::io_context &m_context;
     Clock m_clock;
     Endpoint m_peer;
+    UpstreamIdentity m_identity;
     Handlers m_handlers;
     std::unique_ptr<FrameStream> m_stream;
     std::unique_ptr<FrameStream> m_oldStream;
     std::unique_ptr<UdpPort> m_datagrams;
     std::unique_ptr<UdpPort> m_oldDatagrams;
-    /// Frames for a connection that is not established yet.
+    /// Frames for a connection that is not verified yet.
     std::vector<Waiting> m_waiting;
     bool m_isClosed = false;
+    bool m_isProbeSent = false;
+    bool m_isIdentified = false;
     Milliseconds m_connectStarted;
     Milliseconds m_nextConnect;
     /// Raised with each connection, so that an old one's end is told from the current one's.
--- /dev/null
+++ b/tests/node/upstreampath_test.cpp
@@ -0,0 +1,110 @@
+#include "node/upstreampath.h"
+
+#include "wire/framecodec.h"
+
+#include <gtest/gtest.h>
+#include <vector>
+
+namespace damaskhall {
+namespace {
+
+constexpr Endpoint Address{0x7f000001, 17'441};
+constexpr UpstreamIdentity Expected{UpstreamId{1}, ServiceId{10}};
+
+// Upstream that answers probes with a given identity and keeps all other frames.
+class ProbedUpstream
+{
+public:
+    ProbedUpstream(asio::io_context &context, UpstreamIdentity identity)
+    {
+        const auto keep = [this](std::string_view message, Endpoint) { handle(message, nullptr); };
+        m_datagrams = openPort(context, keep);
+        auto listener = FrameListener::open(context, Address, [this](FrameStream *stream) {
+            const auto received = [this, stream](std::string_view m) { handle(m, stream); };
+            return FrameStream::Handlers{received, [] {}};
+        });
+        m_listener = std::move(listener.assume_value());
+        m_identity = identity;
+    }
+
+    std::vector<Frame> frames;
+    int probes = 0;
+
+private:
+    static std::unique_ptr<UdpPort> openPort(asio::io_context &context,
+                                             const UdpPort::Receiver &receiver)
+    {
+        return std::move(UdpPort::open(context, Address, receiver).assume_value());
+    }
+
+    void handle(std::string_view message, FrameStream *stream)
+    {
+        const Frame frame = decodeFrame(message).assume_value();
+        const auto *probe = std::get_if<Probe>(&frame);
+        if (!probe) {
+            frames.push_back(frame);
+            return;
+        }
+        ++probes;
+        stream->send(encodeFrame(ProbeReply{probe->nonce, m_identity.id, m_identity.service}));
+    }
+
+    UpstreamIdentity m_identity;
+    std::unique_ptr<UdpPort> m_datagrams;
+    std::unique_ptr<FrameListener> m_listener;
+};
+
+class UpstreamPathTest : public ::testing::Test
+{
+protected:
+    UpstreamPath::Handlers handlers()
+    {
+        UpstreamPath::Handlers result;
+        result.received = [](PathChannel, std::string_view) {};
+        result.written = [](const Frame &) {};
+        result.notWritten = [this](const UpstreamRequest &, ReplyStatus) { ++notWritten; };
+        result.mismatched = [this] { ++mismatched; };
+        return result;
+    }
+
+    // Sends a request and a flow frame again and again until @p isDone.
+    void sendUntil(const std::function<bool()> &isDone)
+    {
+        UpstreamPath path(context, Clock(), Address, Expected, handlers());
+        while (!isDone()) {
+            path.send(UpstreamRequest{AttemptId{1}, Expected.service, {}, {}, 5_s, "claim"},
+                      PathChannel::Stream, Clock().now());
+            path.send(Forwarded<FeedData>{{}, Expected.service, {"token", "data"}},
+                      PathChannel::Datagram, Clock().now());
+            path.tick();
+            path.flush();
+            context.run_for(std::chrono::milliseconds(5));
+        }
+    }
+
+    asio::io_context context;
+    int notWritten = 0;
+    int mismatched = 0;
+};
+
+// Guards against a request or feed packet that reaches the service which took over the address of
+// an upstream that is gone.
+TEST_F(UpstreamPathTest, SendsNothingToAnotherUpstreamAtTheAddress)
+{
+    ProbedUpstream other(context, {UpstreamId{2}, ServiceId{20}});
+    sendUntil([&] { return mismatched >= 3; });
+    EXPECT_GE(other.probes, 3);
+    EXPECT_TRUE(other.frames.empty());
+    EXPECT_GT(notWritten, 0);
+}
+
+// Guards against a check that keeps work from the right upstream as well.
+TEST_F(UpstreamPathTest, SendsToTheExpectedUpstream)
+{
+    ProbedUpstream upstream(context, Expected);
+    sendUntil([&] { return upstream.frames.size() >= 4; });
+    EXPECT_EQ(mismatched, 0);
+}
+
+} // namespace
+} // namespace damaskhall
