--- a/standins/standin-platform.cpp
+++ b/standins/standin-platform.cpp
@@ -45,9 +45,8 @@
     Milliseconds downUntil;
     /// Writes that take effect but are not answered.
     int lostReplies = 0;
-    /// Until then, each call is answered this late.
-    Milliseconds slowUntil;
-    Milliseconds slowBy;
+    /// Until slowUntil, each call is answered slowBy late.
+    Milliseconds slowUntil, slowBy;
     /// Until then, reads return the value before the latest one.
     Milliseconds olderUntil;
 };
@@ -158,8 +157,8 @@
     restinio::request_handling_status_t setFaults(const Request &request, const Query &query)
     {
         const Milliseconds now = m_clock.now();
-        m_faults.downUntil = now + Milliseconds{number(query, "down_ms")};
         m_faults.slowBy = Milliseconds{number(query, "slow_by_ms")};
+        m_faults.downUntil = now + Milliseconds{number(query, "down_ms")};
         m_faults.slowUntil = now + Milliseconds{number(query, "slow_ms")};
         m_faults.olderUntil = now + Milliseconds{number(query, "older_ms")};
         m_faults.lostReplies = static_cast<int>(number(query, "lose_replies"));
