Leave the outcome open when a permit's owner is not known yet

Cause: passToOwner answered Unknown at once when the owner was missing in the view or was dead there, although a balancer that had just (re)started issued the permit.

Change: an owner that is not in the view gets no answer (the caller repeats); a dead owner whose permit names a later incarnation gets the frame relayed. Unknown is still said for an owner that is known to be dead.

--- a/src/core/control/membershipcontroller.cpp
+++ b/src/core/control/membershipcontroller.cpp
@@ -208,11 +208,10 @@
         return;
     }
     // A list can show a process for a while after another one has taken its address.
-    const bool isReplaced =
-            std::any_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
-                return entry.second.report.control == control &&
-                       entry.second.report.incarnation > incarnation;
-            });
+    const bool isReplaced = std::any_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
+        return entry.second.report.control == control &&
+               entry.second.report.incarnation > incarnation;
+    });
     if (isReplaced) {
         return;
     }
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -208,7 +208,16 @@
         return;
     }
     const MemberView *owner = m_view->findMember(token->owner);
-    if (owner && owner->state != MemberState::Dead && hops < MaxRelayHops) {
+    if (!owner) {
+        // The owner may have started after this view was made, so nothing can be said about the
+        // request. The caller repeats it.
+        drop(RefusalReason::OwnerUnreachable, token->service, token->workClass);
+        return;
+    }
+    // A permit of a later incarnation shows that the owner was restarted since it died.
+    const bool isDead =
+            owner->state == MemberState::Dead && token->ownerIncarnation <= owner->incarnation;
+    if (!isDead && hops < MaxRelayHops) {
         actions.push_back(relay(*owner, frame, caller, hops));
         return;
     }
