--- a/src/apps/ctl.cpp
+++ b/src/apps/ctl.cpp
@@ -118,7 +118,7 @@
     CtlExit run()
     {
         const auto words = m_values["word"].as<std::vector<std::string>>();
-        const std::string command = words.front();
+        const std::string &command = words.front();
         const std::vector<std::string> operands(words.begin() + 1, words.end());
         if (command == "check") {
             return check(operands);
