Count live upstreams once per view

The dispatcher also left out upstreams that had said that they are leaving, so its number of shards could differ from the router's.

Change: the router keeps the number per service; the dispatcher marks such upstreams instead.

The saving was not measured.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -871,14 +871,14 @@
     }
     m_liveUpstreams.clear();
     for (const auto &[id, upstream] : m_view->upstreams) {
-        if (upstream.state == UpstreamState::Live && m_leavingUpstreams.count(id) == 0) {
+        if (upstream.state == UpstreamState::Live) {
             m_liveUpstreams[upstream.service].push_back(upstream);
         }
     }
     std::erase_if(m_leavingUpstreams, [this](UpstreamId id) { return !m_view->findUpstream(id); });
     addDispatchedShards();
     for (auto &[key, shard] : m_shards) {
-        shard.selector().setUpstreams(upstreamsOf(key));
+        updateUpstreams(shard);
         if (!isDispatched(key)) {
             handOverWaiting(shard, now, actions);
         }
@@ -909,11 +909,21 @@
 {
     const auto [position, isNew] = m_shards.try_emplace(key, key);
     if (isNew) {
-        position->second.selector().setUpstreams(upstreamsOf(key));
+        updateUpstreams(position->second);
     }
     return position->second;
 }
 
+void Dispatcher::updateUpstreams(Shard &shard) const
+{
+    // Upstreams that said that they are leaving stay in the list until the view drops them, so that
+    // the number of shards is the one that the router computes.
+    shard.selector().setUpstreams(upstreamsOf(shard.key()));
+    for (const UpstreamId id : m_leavingUpstreams) {
+        shard.selector().markLeaving(id);
+    }
+}
+
 std::vector<UpstreamView> Dispatcher::upstreamsOf(ShardKey key) const
 {
     std::vector<UpstreamView> result;
--- a/src/core/dispatch/dispatcher.h
+++ b/src/core/dispatch/dispatcher.h
@@ -98,6 +98,7 @@
     void addDispatchedShards();
     Shard &shardFor(ServiceId service, std::uint64_t subject);
     Shard &shardAt(ShardKey key);
+    void updateUpstreams(Shard &shard) const;
     std::vector<UpstreamView> upstreamsOf(ShardKey key) const;
     std::uint32_t shardsOf(ServiceId service) const;
     bool isDispatched(ShardKey key) const;
--- a/src/core/filterchain.cpp
+++ b/src/core/filterchain.cpp
@@ -48,7 +48,7 @@
 
 Refused filterUpstreams(const AdmissionContext &context)
 {
-    if (context.view.liveUpstreams(context.service).empty()) {
+    if (context.liveUpstreams == 0) {
         return RefusalReason::NoUpstream;
     }
     return std::nullopt;
--- a/src/core/filterchain.h
+++ b/src/core/filterchain.h
@@ -3,6 +3,7 @@
 #include "core/reasons.h"
 #include "core/routingview.h"
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -21,6 +22,8 @@
     bool opensFeed = false;
     /// Time left until the caller gives up; positive for Open.
     Milliseconds remaining;
+    /// Live upstreams of the service.
+    std::size_t liveUpstreams = 0;
 };
 
 /// Checks that run in order before work is admitted; the first refusal ends the chain.
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -17,12 +17,12 @@
 
 AdmissionContext admissionContext(const RoutingView &view, const Open &frame)
 {
-    return {view, frame.service, frame.workClass, frame.house, true, 1_ms};
+    return {view, frame.service, frame.workClass, frame.house, true, 1_ms, 0};
 }
 
 AdmissionContext admissionContext(const RoutingView &view, const Reserve &frame)
 {
-    return {view, frame.service, frame.workClass, frame.house, false, frame.remaining};
+    return {view, frame.service, frame.workClass, frame.house, false, frame.remaining, 0};
 }
 
 std::uint64_t subjectOf(const Open &frame)
@@ -67,9 +67,19 @@
 void Router::setView(std::shared_ptr<const RoutingView> view)
 {
     m_view = m_isLeaving ? withSelfLeaving(*view) : std::move(view);
+    m_liveUpstreams.clear();
+    for (const auto &[id, upstream] : m_view->upstreams) {
+        m_liveUpstreams[upstream.service] += upstream.state == UpstreamState::Live ? 1 : 0;
+    }
     m_dispatcher.setView(m_view);
 }
 
+std::size_t Router::liveUpstreams(ServiceId service) const
+{
+    const auto found = m_liveUpstreams.find(service);
+    return found == m_liveUpstreams.end() ? 0 : found->second;
+}
+
 std::shared_ptr<const RoutingView> Router::withSelfLeaving(const RoutingView &view) const
 {
     auto changed = std::make_shared<RoutingView>(view);
@@ -166,11 +176,13 @@
 void Router::admit(const Inner &frame, Endpoint caller, int hops, Milliseconds now,
                    Actions &actions)
 {
-    if (const auto refused = m_admission.run(admissionContext(*m_view, frame))) {
+    AdmissionContext context = admissionContext(*m_view, frame);
+    context.liveUpstreams = liveUpstreams(frame.service);
+    if (const auto refused = m_admission.run(context)) {
         refuse(subjectOf(frame), caller, *refused, frame.service, frame.workClass, actions);
         return;
     }
-    const std::uint32_t shards = shardCount(m_view->liveUpstreams(frame.service).size());
+    const std::uint32_t shards = shardCount(liveUpstreams(frame.service));
     const std::uint32_t shard = shardOfSubject(subjectOf(frame), shards);
     const auto dispatcher = dispatcherOf(*m_view, frame.service, shard);
     const MemberView *peer = dispatcher ? m_view->findMember(*dispatcher) : nullptr;
@@ -252,7 +264,7 @@
         return;
     }
     // Without a permit the request waits at the dispatcher, if anywhere.
-    const std::uint32_t shards = shardCount(m_view->liveUpstreams(frame.service).size());
+    const std::uint32_t shards = shardCount(liveUpstreams(frame.service));
     const auto dispatcher =
             dispatcherOf(*m_view, frame.service, shardOfSubject(frame.request.value, shards));
     const MemberView *peer = dispatcher ? m_view->findMember(*dispatcher) : nullptr;
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -7,8 +7,10 @@
 #include "core/messages.h"
 #include "core/routingview.h"
 
+#include <cstddef>
 #include <memory>
 #include <optional>
+#include <unordered_map>
 
 namespace damaskhall {
 
@@ -72,6 +74,7 @@
                 ClassId workClass, Actions &actions);
     void drop(RefusalReason reason, ServiceId service = {}, ClassId workClass = {});
     std::optional<Token> openToken(const SealedToken &sealed);
+    std::size_t liveUpstreams(ServiceId service) const;
     std::shared_ptr<const RoutingView> withSelfLeaving(const RoutingView &view) const;
     bool isMember(Endpoint endpoint) const;
     bool isUpstream(Endpoint endpoint, UpstreamId id) const;
@@ -82,6 +85,9 @@
     FilterChain m_admission;
     Dispatcher m_dispatcher;
     std::shared_ptr<const RoutingView> m_view;
+    /// Number of live upstreams by service. Counting them in the view at each frame would cost a
+    /// scan of all upstreams of the data centre.
+    std::unordered_map<ServiceId, std::size_t> m_liveUpstreams;
     bool m_isLeaving = false;
 };
 
