Finish a graceful stop only when answers are acknowledged

Change: DispatcherLoad counts unacknowledged answers; an acknowledged record has its own phase. The test of a vanished upstream now checks the count before and after the acknowledgement, as the load is empty only after it.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -213,6 +213,7 @@
     case RecordPhase::Waiting:
     case RecordPhase::Held:
     case RecordPhase::Sent:
+    case RecordPhase::Acknowledged:
         break;
     }
 }
@@ -591,6 +592,7 @@
         sendRefusal(*record, MinRetryAfter, actions);
         break;
     case RecordPhase::Uploading:
+    case RecordPhase::Acknowledged:
         break;
     }
 }
@@ -603,6 +605,7 @@
     }
     // The record itself stays until the permit expires, so that a repeated Execute is recognised.
     record->fragments.clear();
+    m_table.setPhase(*record, RecordPhase::Acknowledged);
     m_table.wakeAt(*record, std::max(now, record->permitExpiry) + Retention);
 }
 
@@ -616,7 +619,7 @@
     releaseSlot(*record, SlotResult::UploadStored, now);
     const ShardKey shard = record->shard;
     countTarget(*record, now);
-    finish(*record, RecordPhase::Answered, now);
+    finish(*record, RecordPhase::Acknowledged, now);
     dispatch(shardAt(shard), now, actions);
 }
 
@@ -693,6 +696,7 @@
     case RecordPhase::Answered:
     case RecordPhase::Unknown:
     case RecordPhase::Refused:
+    case RecordPhase::Acknowledged:
         m_table.erase(record.id());
         break;
     }
@@ -1000,6 +1004,7 @@
     load.waiting = m_table.countOf(RecordPhase::Waiting);
     load.permitted = m_table.countOf(RecordPhase::Permitted) + m_table.countOf(RecordPhase::Held);
     load.sent = m_table.countOf(RecordPhase::Sent);
+    load.unacknowledged = m_table.countOf(RecordPhase::Answered);
     load.uploads = m_table.countOf(RecordPhase::Uploading);
     return load;
 }
--- a/src/core/dispatch/dispatcher.h
+++ b/src/core/dispatch/dispatcher.h
@@ -27,8 +27,10 @@
     std::size_t permitted = 0;
     std::size_t sent = 0;
     std::size_t uploads = 0;
+    /// Answers that the caller has not acknowledged; a lost one can be repeated only here.
+    std::size_t unacknowledged = 0;
 
-    bool isEmpty() const { return waiting + permitted + sent + uploads == 0; }
+    bool isEmpty() const { return waiting + permitted + sent + uploads + unacknowledged == 0; }
 };
 
 /// Admits work to the upstreams of the shards that this balancer dispatches, and owns the permits
--- a/src/core/dispatch/requesttable.h
+++ b/src/core/dispatch/requesttable.h
@@ -30,8 +30,10 @@
     Unknown,
     /// Not run.
     Refused,
+    /// Answered, and the caller has the answer.
+    Acknowledged,
 };
-inline constexpr std::size_t RecordPhaseCount = 8;
+inline constexpr std::size_t RecordPhaseCount = 9;
 
 /// What the owner knows about one request or upload.
 struct RequestRecord
--- a/tests/core/dispatch/dispatcher_test.cpp
+++ b/tests/core/dispatch/dispatcher_test.cpp
@@ -362,13 +362,16 @@
 // Guards against leaks and crashes when an upstream vanishes under a request.
 TEST_F(DispatcherUpstreams, VanishedUpstreamMayStillAnswer)
 {
-    start(1);
+    const SealedToken permit = start(1);
     const Send request = lastSend<UpstreamRequest>();
     listUpstreams({3});
     tick(5_ms);
     reply(request, ReplyStatus::Ok);
     EXPECT_EQ(last<Answer>().body, "answer");
     EXPECT_EQ(m_dispatcher.status().upstreams.size(), 1U);
+    // A graceful stop waits for the caller's acknowledgement: only the owner can repeat the answer.
+    EXPECT_EQ(m_dispatcher.load().unacknowledged, 1U);
+    m_dispatcher.acknowledge({RequestId{1}, permit}, m_now);
     EXPECT_TRUE(m_dispatcher.load().isEmpty());
 }
 
