--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -213,6 +213,7 @@
     case RecordPhase::Waiting:
     case RecordPhase::Held:
     case RecordPhase::Sent:
+    case RecordPhase::Acknowledged:
         break;
     }
 }
@@ -591,6 +592,7 @@
         sendRefusal(*record, MinRetryAfter, actions);
         break;
     case RecordPhase::Uploading:
+    case RecordPhase::Acknowledged:
         break;
     }
 }
@@ -603,6 +605,7 @@
     }
     // The record itself stays until the permit expires, so that a repeated Execute is recognised.
     record->fragments.clear();
+    m_table.setPhase(*record, RecordPhase::Acknowledged);
     m_table.wakeAt(*record, std::max(now, record->permitExpiry) + Retention);
 }
 
@@ -616,7 +619,7 @@
     releaseSlot(*record, SlotResult::UploadStored, now);
     const ShardKey shard = record->shard;
     countTarget(*record, now);
-    finish(*record, RecordPhase::Answered, now);
+    finish(*record, RecordPhase::Acknowledged, now);
     dispatch(shardAt(shard), now, actions);
 }
 
@@ -693,6 +696,7 @@
     case RecordPhase::Answered:
     case RecordPhase::Unknown:
     case RecordPhase::Refused:
+    case RecordPhase::Acknowledged:
         m_table.erase(record.id());
         break;
     }
@@ -871,14 +875,14 @@
     }
     m_liveUpstreams.clear();
     for (const auto &[id, upstream] : m_view->upstreams) {
-        if (upstream.state == UpstreamState::Live && m_leavingUpstreams.count(id) == 0) {
+        if (upstream.state == UpstreamState::Live) {
             m_liveUpstreams[upstream.service].push_back(upstream);
         }
     }
     std::erase_if(m_leavingUpstreams, [this](UpstreamId id) { return !m_view->findUpstream(id); });
     addDispatchedShards();
     for (auto &[key, shard] : m_shards) {
-        shard.selector().setUpstreams(upstreamsOf(key));
+        updateUpstreams(shard);
         if (!isDispatched(key)) {
             handOverWaiting(shard, now, actions);
         }
@@ -909,11 +913,21 @@
 {
     const auto [position, isNew] = m_shards.try_emplace(key, key);
     if (isNew) {
-        position->second.selector().setUpstreams(upstreamsOf(key));
+        updateUpstreams(position->second);
     }
     return position->second;
 }
 
+void Dispatcher::updateUpstreams(Shard &shard) const
+{
+    // Upstreams that said that they are leaving stay in the list until the view drops them, so that
+    // the number of shards is the one that the router computes.
+    shard.selector().setUpstreams(upstreamsOf(shard.key()));
+    for (const UpstreamId id : m_leavingUpstreams) {
+        shard.selector().markLeaving(id);
+    }
+}
+
 std::vector<UpstreamView> Dispatcher::upstreamsOf(ShardKey key) const
 {
     std::vector<UpstreamView> result;
@@ -990,6 +1004,7 @@
     load.waiting = m_table.countOf(RecordPhase::Waiting);
     load.permitted = m_table.countOf(RecordPhase::Permitted) + m_table.countOf(RecordPhase::Held);
     load.sent = m_table.countOf(RecordPhase::Sent);
+    load.unacknowledged = m_table.countOf(RecordPhase::Answered);
     load.uploads = m_table.countOf(RecordPhase::Uploading);
     return load;
 }
