Publish views once a tick and keep idle ticks of the control plane short

Cause: a profile of 512 balancers showed time in full scans: expiry of all members each tick, a search for news in the update queue, a search for the holder of an address, and a new routing view for each datagram.

--- a/src/core/control/controlplane.cpp
+++ b/src/core/control/controlplane.cpp
@@ -54,6 +54,14 @@
             m_members.self().state == MemberState::Leaving, m_members.peerCount() + 1, m_listed};
     m_schedule.tick(situation, now, actions);
     finish(first, actions);
+    // A view is a copy of all members and upstreams, so that news of one tick shares one.
+    const bool hasChanged = !m_view || m_viewMembers != m_members.version() ||
+                            m_viewUpstreams != m_upstreams.version() ||
+                            m_view->declaration != m_config.declaration();
+    if (hasChanged || std::exchange(m_isFirstTick, false)) {
+        view();
+        actions.emplace_back(PublishView{});
+    }
 }
 
 void ControlPlane::handleDatagram(const ControlDatagram &datagram, Endpoint from, Milliseconds now,
@@ -275,13 +283,6 @@
         }
     }
     announce(actions);
-    const bool hasChanged = !m_view || m_viewMembers != m_members.version() ||
-                            m_viewUpstreams != m_upstreams.version() ||
-                            m_view->declaration != m_config.declaration();
-    if (hasChanged) {
-        view();
-        actions.emplace_back(PublishView{});
-    }
 }
 
 std::shared_ptr<const RoutingView> ControlPlane::view()
--- a/src/core/control/controlplane.h
+++ b/src/core/control/controlplane.h
@@ -62,7 +62,8 @@
     void beginLeaving(Milliseconds now, ControlActions &actions);
     void reportLeaving(UpstreamId upstream, Milliseconds now, ControlActions &actions);
 
-    /// Returns the current view; the same object until something changes.
+    /// Returns the current view; the same object until something changes. tick() appends
+    /// PublishView after a change.
     std::shared_ptr<const RoutingView> view();
     const ConfigController &config() const { return m_config; }
     const MembershipController &members() const { return m_members; }
@@ -78,7 +79,7 @@
                       ControlActions &actions);
     void compareState(const MemberUpdate &peer, std::uint64_t peerDigest, Milliseconds now,
                       ControlActions &actions);
-    /// Completes datagrams from @p firstAction on, announces news and reports changed views.
+    /// Completes datagrams from @p firstAction on and announces news.
     void finish(std::size_t firstAction, ControlActions &actions);
 
     ControlPlaneOptions m_options;
@@ -92,6 +93,7 @@
     /// Hash of the last envelope read: a watch that ends without a change returns the same one.
     std::uint64_t m_envelopeHash = 0;
     std::shared_ptr<const RoutingView> m_view;
+    bool m_isFirstTick = true;
     std::uint64_t m_viewMembers = 0;
     std::uint64_t m_viewUpstreams = 0;
     std::uint64_t m_readerVersion = 0;
--- a/src/core/control/membershipcontroller.cpp
+++ b/src/core/control/membershipcontroller.cpp
@@ -30,6 +30,8 @@
 /// Must exceed the longest separation and the lag of the platform's list.
 constexpr Milliseconds DeadRetention = 6_s * 3600;
 constexpr std::size_t MaxDeadMembers = 4096;
+/// Interval at which remembered dead members are checked.
+constexpr Milliseconds ForgetInterval = 10_s;
 constexpr std::size_t MaxRelayedProbes = 256;
 constexpr std::size_t ReadersPerDataCentre = 2;
 constexpr std::uint64_t ReaderKey = 0x72656164657273;
@@ -155,6 +157,7 @@
     }
     if (update.state == MemberState::Suspect) {
         member.suspectUntil = now + SuspicionTimeout;
+        m_nextExpiry = std::min(m_nextExpiry, *member.suspectUntil);
     }
     dropPredecessorsAt(update, now);
     refresh();
@@ -168,6 +171,7 @@
     }
     m_hooks.countEvent(ControlEvent::MemberSuspected);
     member.suspectUntil = now + SuspicionTimeout;
+    m_nextExpiry = std::min(m_nextExpiry, *member.suspectUntil);
     // A leaving member is doubted too, but stays leaving for all: no new work goes to it.
     if (member.report.state == MemberState::Alive) {
         member.report.state = MemberState::Suspect;
@@ -208,11 +212,10 @@
         return;
     }
     // A list can show a process for a while after another one has taken its address.
-    const bool isReplaced =
-            std::any_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
-                return entry.second.report.control == control &&
-                       entry.second.report.incarnation > incarnation;
-            });
+    const bool isReplaced = std::any_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
+        return entry.second.report.control == control &&
+               entry.second.report.incarnation > incarnation;
+    });
     if (isReplaced) {
         return;
     }
@@ -364,11 +367,19 @@
 
 void MembershipController::expire(Milliseconds now)
 {
+    std::erase_if(m_relayed,
+                  [&](const auto &entry) { return now - entry.second.sentAt > ProbeInterval; });
+    if (now < m_nextExpiry) {
+        return;
+    }
+    m_nextExpiry = now + ForgetInterval;
     std::size_t dead = 0;
     for (auto it = m_members.begin(); it != m_members.end();) {
         Member &member = it->second;
         if (member.suspectUntil && now >= *member.suspectUntil) {
             declareDead(member, now);
+        } else if (member.suspectUntil) {
+            m_nextExpiry = std::min(m_nextExpiry, *member.suspectUntil);
         }
         const bool isDead = member.report.state == MemberState::Dead;
         dead += isDead ? 1 : 0;
@@ -376,8 +387,6 @@
                 isDead && (now - member.deadSince > DeadRetention || dead > MaxDeadMembers);
         it = isForgotten ? m_members.erase(it) : std::next(it);
     }
-    std::erase_if(m_relayed,
-                  [&](const auto &entry) { return now - entry.second.sentAt > ProbeInterval; });
 }
 
 void MembershipController::beginLeaving()
--- a/src/core/control/membershipcontroller.h
+++ b/src/core/control/membershipcontroller.h
@@ -115,6 +115,8 @@
     std::optional<Milliseconds> m_lastSeen;
     Milliseconds m_nextProbe;
     Milliseconds m_nextContact;
+    /// Earliest end of a suspicion, or the next check of the dead members.
+    Milliseconds m_nextExpiry;
 };
 
 } // namespace damaskhall
--- a/src/core/control/updatequeue.h
+++ b/src/core/control/updatequeue.h
@@ -25,12 +25,13 @@
             return item.update.id == update.id;
         });
         if (old != m_items.end()) {
-            m_items.erase(old);
+            drop(old);
         }
         if (m_items.size() >= MaxQueued) {
-            m_items.erase(m_items.begin());
+            drop(m_items.begin());
         }
         m_items.push_back({update, sends, true});
+        ++m_freshCount;
     }
 
     /// Returns up to @p limit updates that were never taken by takeFresh().
@@ -38,10 +39,11 @@
     {
         std::vector<Update> taken;
         for (Item &item : m_items) {
-            if (taken.size() == limit) {
+            if (taken.size() == limit || m_freshCount == 0) {
                 break;
             }
             if (std::exchange(item.isFresh, false)) {
+                --m_freshCount;
                 taken.push_back(item.update);
             }
         }
@@ -52,6 +54,9 @@
     std::vector<Update> take(std::size_t limit)
     {
         limit = std::min(limit, m_items.size());
+        if (limit == 0) {
+            return {};
+        }
         std::vector<Item *> order;
         order.reserve(m_items.size());
         for (Item &item : m_items) {
@@ -66,15 +71,15 @@
             taken.push_back(order[i]->update);
             --order[i]->sendsLeft;
         }
-        std::erase_if(m_items, [](const Item &item) { return item.sendsLeft == 0; });
+        std::erase_if(m_items, [this](const Item &item) {
+            const bool isSpent = item.sendsLeft == 0;
+            m_freshCount -= isSpent && item.isFresh ? 1 : 0;
+            return isSpent;
+        });
         return taken;
     }
 
-    bool hasFresh() const
-    {
-        return std::any_of(m_items.begin(), m_items.end(),
-                           [](const Item &item) { return item.isFresh; });
-    }
+    bool hasFresh() const { return m_freshCount > 0; }
 
 private:
     struct Item
@@ -84,7 +89,14 @@
         bool isFresh = true;
     };
 
+    void drop(typename std::vector<Item>::iterator item)
+    {
+        m_freshCount -= item->isFresh ? 1 : 0;
+        m_items.erase(item);
+    }
+
     std::vector<Item> m_items;
+    std::size_t m_freshCount = 0;
 };
 
 } // namespace damaskhall
--- a/src/core/control/upstreamcontroller.cpp
+++ b/src/core/control/upstreamcontroller.cpp
@@ -64,11 +64,9 @@
     if (!report.isPresent()) {
         return;
     }
-    for (auto &[id, entry] : m_entries) {
-        if (id < report.id && entry.report.endpoint == report.endpoint &&
-            entry.report.isPresent()) {
-            remove(entry, now, sends);
-        }
+    const auto holder = m_byEndpoint.find(report.endpoint);
+    if (holder != m_byEndpoint.end() && holder->second < report.id) {
+        remove(m_entries.at(holder->second), now, sends);
     }
     m_byEndpoint[report.endpoint] = report.id;
 }
