Measure control traffic after the start-up, and the start-up apart

Cause: after a start of all balancers at once, updates about all upstreams ride on probes for minutes.

Change: fleets run 900 s before the figures are taken; the first minute is a row of its own (control_bytes_first_minute), without a target.

--- a/measure/controlfleet.cpp
+++ b/measure/controlfleet.cpp
@@ -32,6 +32,10 @@
 constexpr std::array<std::uint32_t, 4> FleetSizes = {8, 32, 128, 512};
 constexpr double Loss = 0.01;
 constexpr Milliseconds WarmUp = 30_s;
+/// After a start of all balancers at once, updates about all upstreams ride on probes for minutes.
+/// That time is reported as a figure of its own.
+constexpr Milliseconds FleetWarmUp = 900_s;
+constexpr Milliseconds StartUp = 60_s;
 /// Seeds of the fleets; one run of 512 balancers takes about a minute of processor time, most of it
 /// to parse declarations.
 constexpr std::uint32_t MaxFleetSeeds = 1;
@@ -148,6 +152,8 @@
     /// Bytes a second per balancer between balancers: mean and busiest.
     double bytes = 0;
     double highestBytes = 0;
+    /// Mean over the first minute after a start of all balancers at once.
+    double startUpBytes = 0;
     /// Bytes a second that the platform sends, all balancers together.
     double platformBytes = 0;
     /// Share of a core per balancer in percent, event queue and codec included.
@@ -166,7 +172,13 @@
     }
     cluster.accept(1, controlDeclaration(services, 1));
     cluster.startAll();
-    cluster.runFor(WarmUp);
+    FleetResult result;
+    cluster.runFor(StartUp);
+    for (std::uint32_t i = 0; i < nodes; ++i) {
+        result.startUpBytes += static_cast<double>(cluster.peerBytes(i)) * 1000 /
+                               static_cast<double>(StartUp.value) / nodes;
+    }
+    cluster.runFor(FleetWarmUp - StartUp);
     std::vector<double> before;
     for (std::uint32_t i = 0; i < nodes; ++i) {
         before.push_back(static_cast<double>(cluster.peerBytes(i)));
@@ -181,7 +193,6 @@
     const double began = secondsOfThread();
     cluster.runFor(duration);
     const double seconds = static_cast<double>(duration.value) / 1000;
-    FleetResult result;
     result.processor = 100 * (secondsOfThread() - began) / seconds / nodes;
     for (std::uint32_t i = 0; i < nodes; ++i) {
         const double rate = (static_cast<double>(cluster.peerBytes(i)) - before[i]) / seconds;
@@ -257,6 +268,9 @@
         rows.push_back(plainRow("control_bytes_busiest_node" + at,
                                 highest(column(results, &FleetResult::highestBytes)), "B/s",
                                 inputs));
+        rows.push_back(plainRow("control_bytes_first_minute" + at,
+                                highest(column(results, &FleetResult::startUpBytes)), "B/s",
+                                inputs));
         rows.push_back(plainRow("control_cpu_per_node" + at, processor.values.back(), "%", inputs));
         rows.push_back(plainRow("platform_calls.reads" + at,
                                 highest(column(results, &FleetResult::reads)), "1/s", inputs));
