Satisfy the linter and find duplicate sections without a scan

Cause: lint was red in files of the control plane, and a profile of the fleet measurement showed 64% of its time in parsing declarations: each section header was compared with all earlier ones.

Change: titles are looked up in a map; casts, names and string building as the linter asks.

--- a/fakes/controlcluster.cpp
+++ b/fakes/controlcluster.cpp
@@ -16,8 +16,9 @@
 constexpr std::uint64_t UdpHeaderBytes = 28;
 constexpr std::uint64_t TcpHeaderBytes = 40;
 /// Bytes of a connection beside its messages: its start and end, a Hello in each direction and
-/// heartbeats in each direction until it is idle for 5 s.
-constexpr std::uint64_t ConnectionBytes = 6 * TcpHeaderBytes + 2 * 52 + 10 * 46;
+/// heartbeats in each direction until it is idle for 5 s: 6 bare segments, 2 Hellos of 52 B and
+/// 10 heartbeats of 46 B.
+constexpr std::uint64_t ConnectionBytes = 6 * TcpHeaderBytes + 564;
 /// Bytes of one entry of the platform's list as JSON.
 constexpr std::uint64_t ListedBytes = 150;
 constexpr std::uint32_t BaseAddress = 0x0a010000;
@@ -434,9 +435,10 @@
     for (std::uint32_t i = 0; i < services; ++i) {
         const std::string name = "service-" + std::to_string(i);
         const std::uint32_t seconds = i == edition % services ? 2 + edition : 2;
-        text += "[service " + name + "]\n\n[class " + name + "/claim]\nkind = request\n" +
-                "idempotent = no\nanswer_within = " + std::to_string(seconds) + " s\n\n[class " +
-                name + "/queue]\nkind = feed\npush_within = 500 ms\n\n";
+        text.append("[service ").append(name).append("]\n\n[class ").append(name);
+        text.append("/claim]\nkind = request\nidempotent = no\nanswer_within = ");
+        text.append(std::to_string(seconds)).append(" s\n\n[class ").append(name);
+        text.append("/queue]\nkind = feed\npush_within = 500 ms\n\n");
     }
     return text;
 }
--- a/measure/controlfleet.cpp
+++ b/measure/controlfleet.cpp
@@ -352,6 +352,7 @@
 std::vector<Row> memoryRows()
 {
     std::vector<Row> rows;
+    rows.reserve(FleetSizes.size() + 1);
     for (const std::uint32_t nodes : FleetSizes) {
         rows.push_back(plainRow("control_memory_per_node." + std::to_string(nodes),
                                 controlMemory(nodes), "MB", "live heap of one control plane"));
--- a/src/config/inidocument.cpp
+++ b/src/config/inidocument.cpp
@@ -115,13 +115,12 @@
         diagnostics.add(number, quoted(line), "a section header such as [service NAME]");
         return;
     }
-    for (const IniSection &earlier : m_sections) {
-        if (earlier.kind == section.kind && earlier.name == section.name) {
-            diagnostics.add(number, "section " + section.title() + " again",
-                            "each section once; the first is on line " +
-                                    std::to_string(earlier.line));
-            return;
-        }
+    const auto [earlier, isNew] = m_lineByTitle.try_emplace(section.title(), number);
+    if (!isNew) {
+        diagnostics.add(number, "section " + section.title() + " again",
+                        "each section once; the first is on line " +
+                                std::to_string(earlier->second));
+        return;
     }
     m_sections.push_back(std::move(section));
     m_isSkipping = false;
--- a/src/config/inidocument.h
+++ b/src/config/inidocument.h
@@ -2,6 +2,7 @@
 
 #include "config/diagnostics.h"
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,6 +52,8 @@
     void addEntry(std::string_view line, int number, Diagnostics &diagnostics);
 
     std::vector<IniSection> m_sections;
+    /// Line of the first section with each title.
+    std::map<std::string, int> m_lineByTitle;
     /// Entries of a section whose header is wrong are skipped, not reported.
     bool m_isSkipping = false;
 };
--- a/src/core/control/platformschedule.cpp
+++ b/src/core/control/platformschedule.cpp
@@ -24,13 +24,13 @@
 
 bool PlatformSchedule::start(Call call, Milliseconds now)
 {
-    State &call_ = state(call);
-    if (call_.isPending || now < call_.due) {
+    State &pending = state(call);
+    if (pending.isPending || now < pending.due) {
         return false;
     }
-    call_.isPending = true;
-    call_.lastStart = now;
-    if (call_.failures > 0) {
+    pending.isPending = true;
+    pending.lastStart = now;
+    if (pending.failures > 0) {
         m_hooks.countRetry(RetryReason::PlatformRetry);
     }
     return true;
--- a/src/node/controlworker.cpp
+++ b/src/node/controlworker.cpp
@@ -316,7 +316,8 @@
     std::shared_ptr<const RoutingView> published;
 };
 
-ControlWorker::ControlWorker(const ControlOptions &options, Publisher publish, ControlHooks hooks)
+ControlWorker::ControlWorker(const ControlOptions &options, Publisher publish,
+                             const ControlHooks &hooks)
     : m_d(std::make_unique<Private>(options, std::move(publish), hooks))
 {
 }
--- a/src/node/controlworker.h
+++ b/src/node/controlworker.h
@@ -47,7 +47,7 @@
 
     /// Preconditions: @p publish is set; it and the hooks are called on the control thread. Hooks
     /// that are not set are replaced: no counting, random numbers from the system.
-    ControlWorker(const ControlOptions &options, Publisher publish, ControlHooks hooks = {});
+    ControlWorker(const ControlOptions &options, Publisher publish, const ControlHooks &hooks = {});
     ~ControlWorker();
     ControlWorker(const ControlWorker &) = delete;
     ControlWorker &operator=(const ControlWorker &) = delete;
--- a/src/node/framestream.cpp
+++ b/src/node/framestream.cpp
@@ -16,8 +16,8 @@
 namespace {
 
 /// Bytes that may wait for a slow peer; more would only grow stale.
-constexpr std::size_t MaxPendingBytes = 1024 * 1024;
-constexpr std::size_t ReadBufferBytes = 16 * 1024;
+constexpr std::size_t MaxPendingBytes = 1'048'576;
+constexpr std::size_t ReadBufferBytes = 16'384;
 
 asio::ip::tcp::endpoint toAsio(Endpoint endpoint)
 {
--- a/src/wire/controlcodec.h
+++ b/src/wire/controlcodec.h
@@ -13,7 +13,7 @@
 inline constexpr std::size_t MaxControlDatagramBytes = 4096;
 /// Largest stream message in bytes. A declaration at the target size has about 440 KB, and the
 /// platform's limit for a value is 1 MB.
-inline constexpr std::size_t MaxStreamMessageBytes = 4 * 1024 * 1024;
+inline constexpr std::size_t MaxStreamMessageBytes = 4'194'304;
 
 /// Returns a version byte and a msgpack array. Thread safety: reentrant.
 std::string encodeControlDatagram(const ControlDatagram &datagram);
