Split the control measurement into five experiments

Cause: rows appear only at the end of an experiment, and a run of all control rows took longer than the time given to it, so none was printed.

--- a/measure/damaskhall-measure.cpp
+++ b/measure/damaskhall-measure.cpp
@@ -32,12 +32,22 @@
 std::vector<Experiment> experiments()
 {
     return {
-            {"policies", measurePolicies},     {"load", measureLoad},
-            {"faults", measureRandomFaults},   {"onekill", measureOneKill},
-            {"flows", measureFlows},           {"leaving", measureLeaving},
-            {"overload", measureOverload},     {"fairness", measureFairness},
-            {"forwarding", measureForwarding}, {"newflows", measureNewFlows},
-            {"flowmemory", measureFlowMemory}, {"control", measureControlFleet},
+            {"policies", measurePolicies},
+            {"load", measureLoad},
+            {"faults", measureRandomFaults},
+            {"onekill", measureOneKill},
+            {"flows", measureFlows},
+            {"leaving", measureLeaving},
+            {"overload", measureOverload},
+            {"fairness", measureFairness},
+            {"forwarding", measureForwarding},
+            {"newflows", measureNewFlows},
+            {"flowmemory", measureFlowMemory},
+            {"controlmemory", measureControlMemory},
+            {"controlspread", measureControlSpread},
+            {"controlquiet", measureControlQuiet},
+            {"controlday", measureControlDay},
+            {"platformcalls", measurePlatformCalls},
     };
 }
 
