Give back the slots of a silent path and prove silent paths with processes

Cause: requests on a silent path kept their slots until their deadline.

Change: the traffic thread tells the dispatcher that a path went silent; the slots are given back, the requests wait on for a late reply and are not sent again. A process test lets all paths go silent. The fleet measurement has a data centre of 214 balancers, its size at 1,500 nodes in seven.

--- a/measure/controlfleet.cpp
+++ b/measure/controlfleet.cpp
@@ -30,7 +30,8 @@
 constexpr double ReplacementsADay = 1'700;
 constexpr double SecondsADay = 86'400;
 
-constexpr std::array<std::uint32_t, 4> FleetSizes = {8, 32, 128, 512};
+/// 214 is the size of a data centre when 1,500 nodes stand in seven of them.
+constexpr std::array<std::uint32_t, 5> FleetSizes = {8, 32, 128, 214, 512};
 constexpr double Loss = 0.01;
 constexpr Milliseconds WarmUp = 30_s;
 /// After a start of all balancers at once, updates about all upstreams ride on probes for minutes.
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -389,6 +389,7 @@
     record.upstreamEndpoint = slot.endpoint;
     record.inFlightAtSend = slot.inFlight;
     record.sentAt = now;
+    record.isSlotReleased = false;
     ++record.tries;
     m_table.setPhase(record, RecordPhase::Sent);
     m_table.setAttempt(record, AttemptId{m_hooks.random()});
@@ -501,8 +502,28 @@
     shard.held().push_front(record.id());
 }
 
+void Dispatcher::handleSilentPath(UpstreamId upstream, Milliseconds now)
+{
+    for (RequestRecord *record : m_table.sentTo(upstream)) {
+        releaseSlot(*record, SlotResult::Neutral, now);
+    }
+    std::vector<AttemptId> abandoned;
+    for (const auto &[attempt, entry] : m_abandoned) {
+        if (entry.slot.upstream == upstream) {
+            abandoned.push_back(attempt);
+        }
+    }
+    for (const AttemptId attempt : abandoned) {
+        releaseAbandoned(attempt, SlotResult::Neutral, now);
+    }
+}
+
 void Dispatcher::abandonAttempt(RequestRecord &record, Milliseconds now)
 {
+    if (record.isSlotReleased) {
+        m_table.clearAttempt(record);
+        return;
+    }
     const Milliseconds releaseAt =
             std::max(now + MinAttemptTimeout, record.sentAt + attemptTimeout(record));
     m_abandoned[record.attempt] = {record.shard,
@@ -729,7 +750,9 @@
 void Dispatcher::releaseSlot(RequestRecord &record, SlotResult result, Milliseconds now)
 {
     Shard &shard = shardAt(record.shard);
-    shard.selector().release(slotOf(record), record.sentAt, result, now);
+    if (!std::exchange(record.isSlotReleased, true)) {
+        shard.selector().release(slotOf(record), record.sentAt, result, now);
+    }
     if (result == SlotResult::Answered) {
         shard.countCompletion(now);
     }
--- a/src/core/dispatch/dispatcher.h
+++ b/src/core/dispatch/dispatcher.h
@@ -64,6 +64,11 @@
     void handleProbeReply(const ProbeReply &frame, Endpoint from, Milliseconds now,
                           Actions &actions);
 
+    /// Gives back the slots of requests that were sent on a path which went silent: their replies
+    /// may never come, while the upstream serves new connections. The requests still wait for a
+    /// reply until their deadline and are not sent again.
+    void handleSilentPath(UpstreamId upstream, Milliseconds now);
+
     /// Runs timers. Call at least every 10 ms.
     void tick(Milliseconds now, Actions &actions);
 
--- a/src/core/dispatch/requesttable.cpp
+++ b/src/core/dispatch/requesttable.cpp
@@ -34,6 +34,17 @@
     return &record;
 }
 
+std::vector<RequestRecord *> RequestTable::sentTo(UpstreamId upstream)
+{
+    std::vector<RequestRecord *> records;
+    for (auto &[id, record] : m_records) {
+        if (record.phase == RecordPhase::Sent && record.upstream == upstream) {
+            records.push_back(&record);
+        }
+    }
+    return records;
+}
+
 void RequestTable::erase(RequestId request)
 {
     RequestRecord *record = find(request);
--- a/src/core/dispatch/requesttable.h
+++ b/src/core/dispatch/requesttable.h
@@ -61,6 +61,8 @@
     Endpoint upstreamEndpoint;
     AttemptId attempt;
     Milliseconds sentAt;
+    /// The slot of the current attempt was given back, although a reply may still come.
+    bool isSlotReleased = false;
     /// Requests in flight at the upstream when this one was sent, including it.
     std::uint32_t inFlightAtSend = 0;
     /// Earliest time of the next transmission after an upstream refused.
@@ -91,6 +93,9 @@
     /// Precondition: there is no record of this request. Pointers stay valid until erase().
     RequestRecord *insert(const Reserve &reservation);
     void erase(RequestId request);
+    /// Returns the records in RecordPhase::Sent whose current attempt went to @p upstream. Looks at
+    /// all records.
+    std::vector<RequestRecord *> sentTo(UpstreamId upstream);
 
     void setPhase(RequestRecord &record, RecordPhase phase);
     /// Replaces the current attempt; replies to the former one are no longer found.
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -36,6 +36,12 @@
     /// Counts an upstream address at which another upstream answered.
     void handleWrongService() { drop(RefusalReason::WrongService); }
 
+    /// See Dispatcher::handleSilentPath().
+    void handleSilentPath(UpstreamId upstream, Milliseconds now)
+    {
+        m_dispatcher.handleSilentPath(upstream, now);
+    }
+
     /// Runs timers. Call at least every 10 ms.
     void tick(Milliseconds now, Actions &actions);
 
--- a/src/node/trafficworker.cpp
+++ b/src/node/trafficworker.cpp
@@ -178,6 +178,7 @@
                 continue;
             }
             if (step.isSilent) {
+                router.handleSilentPath(step.upstream, now);
                 path->second->replace();
             }
             for (const auto &[channel, frame] : step.frames) {
--- a/tests/core/dispatch/dispatcher_test.cpp
+++ b/tests/core/dispatch/dispatcher_test.cpp
@@ -337,6 +337,32 @@
     EXPECT_TRUE(m_dispatcher.load().isEmpty());
 }
 
+// Guards against claims that stand still until the deadline of requests on a silent path, and
+// against a slot that is given back twice.
+TEST_F(DispatcherRetry, SilentPathGivesItsSlotsBack)
+{
+    listUpstreams({1});
+    tick(1_s);
+    start(1);
+    const Send first = lastSend<UpstreamRequest>();
+    m_actions.clear();
+    for (std::uint64_t request = 2; request <= 5; ++request) {
+        reserve(request);
+    }
+    const int permitted = count<Permit>();
+    m_dispatcher.handleSilentPath(UpstreamId{1}, m_now);
+    EXPECT_EQ(m_dispatcher.status().upstreams.at(0).inFlight, 0U);
+    tick(10_ms);
+    EXPECT_GT(count<Permit>(), permitted);
+    EXPECT_EQ(count<UpstreamRequest>(), 0);
+    {
+        SCOPED_TRACE("a late reply still answers its request");
+        reply(first, ReplyStatus::Ok);
+        EXPECT_EQ(last<Answer>().request, RequestId{1});
+        EXPECT_EQ(m_dispatcher.status().upstreams.at(0).inFlight, 0U);
+    }
+}
+
 class DispatcherUpstreams : public DispatcherDesk
 {
 };
--- a/tests/core/dispatch/wholepath_test.cpp
+++ b/tests/core/dispatch/wholepath_test.cpp
@@ -186,7 +186,7 @@
 }
 
 // Guards against doubled runs and false "not run" where packets are lost, doubled and reordered.
-TEST_F(WorkshopDay, LossyNetworkKeepsThePromises)
+TEST_F(WorkshopDay, LossyNetworkKeepsTheInvariants)
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
         SCOPED_TRACE(seed);
--- a/tests/processes/faults_test.cpp
+++ b/tests/processes/faults_test.cpp
@@ -93,6 +93,25 @@
     expectNothingInterrupted(table);
 }
 
+class SilentPathTest : public FaultsTest
+{
+protected:
+    // Six seconds after its start each upstream ignores all senders that it knows; new ones work.
+    void SetUp() override
+    {
+        ASSERT_TRUE(fleet.start(3, {"--silent-after-ms", "6000"})) << fleet.output();
+    }
+};
+
+// Guards against connections that are never replaced, and against a claim that is sent again on the
+// new connection.
+TEST_F(SilentPathTest, AllPathsToUpstreamsGoSilentAndNothingBreaksOrRunsTwice)
+{
+    fleet.startCallers(10);
+    auto table = fleet.finishCallers();
+    expectInvariants(table);
+}
+
 TEST_F(FaultsTest, PlatformOutageChangesNothingForCallers)
 {
     fleet.startCallers(6);
--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -99,8 +99,9 @@
     return "127.0.0.1:" + std::to_string(m_basePort + offset);
 }
 
-bool Fleet::start(int balancers)
+bool Fleet::start(int balancers, const std::vector<std::string> &upstreamFaults)
 {
+    m_upstreamFaults = upstreamFaults;
     m_platform = std::make_unique<Process>(
             "standin-platform", std::vector<std::string>{"--listen", address(PlatformOffset)},
             file("processes.log"));
@@ -161,11 +162,12 @@
 
 void Fleet::startUpstream(int id, const std::string &service, int serviceMs)
 {
-    const std::vector<std::string> arguments{
+    std::vector<std::string> arguments{
             "--id",         std::to_string(id),           "--service",     service,
             "--listen",     address(UpstreamOffset + id), "--inner",       address(InnerOffset),
             "--platform",   address(PlatformOffset),      "--data-centre", DataCentre,
             "--service-ms", std::to_string(serviceMs),    "--run-log",     file("runs.txt")};
+    arguments.insert(arguments.end(), m_upstreamFaults.begin(), m_upstreamFaults.end());
     m_upstreams.emplace(id, Process("standin-upstream", arguments, file("processes.log")));
 }
 
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace damaskhall::processes {
 
@@ -33,7 +34,8 @@
 
     /// Starts platform, fabric, @p balancers, four upstreams of the workshop board with speeds of
     /// 4 to 1 and two of the pattern desk. Returns false if they do not serve in time.
-    bool start(int balancers);
+    /// Options in @p upstreamFaults are added to the command line of each upstream.
+    bool start(int balancers, const std::vector<std::string> &upstreamFaults = {});
 
     /// Starts a balancer under a new id and waits until it serves. Returns its id, or 0 if it does
     /// not serve in time.
@@ -59,6 +61,7 @@
     std::string file(const std::string &name) const { return m_folder + "/" + name; }
 
     std::string m_folder;
+    std::vector<std::string> m_upstreamFaults;
     std::uint16_t m_basePort;
     std::unique_ptr<Process> m_platform;
     std::unique_ptr<Process> m_fabric;
