Bound the wait of the path tests

Cause: with the identity check taken out, the test waited for a mismatch without end instead of failing.

Change: at most 2,000 rounds, and the expected counts are checked after them.

Result: passes as it is; with the check taken out it fails.

--- a/tests/node/upstreampath_test.cpp
+++ b/tests/node/upstreampath_test.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Endpoint Address{0x7f000001, 17'441};
+/// Far more rounds of 5 ms than any of the tests needs; a path that never gets there fails it.
+constexpr int MaxRounds = 2'000;
 constexpr UpstreamIdentity Expected{UpstreamId{1}, ServiceId{10}};
 
 // Upstream that answers probes with a given identity and keeps all other frames.
@@ -71,7 +73,7 @@
     void sendUntil(const std::function<bool()> &isDone)
     {
         UpstreamPath path(context, Clock(), Address, Expected, handlers());
-        while (!isDone()) {
+        for (int i = 0; i < MaxRounds && !isDone(); ++i) {
             path.send(UpstreamRequest{AttemptId{1}, Expected.service, {}, {}, 5_s, "claim"},
                       PathChannel::Stream, Clock().now());
             path.send(Forwarded<FeedData>{{}, Expected.service, {"token", "data"}},
@@ -93,6 +95,7 @@
 {
     ProbedUpstream other(context, {UpstreamId{2}, ServiceId{20}});
     sendUntil([&] { return mismatched >= 3; });
+    EXPECT_GE(mismatched, 3);
     EXPECT_GE(other.probes, 3);
     EXPECT_TRUE(other.frames.empty());
     EXPECT_GT(notWritten, 0);
@@ -103,6 +106,7 @@
 {
     ProbedUpstream upstream(context, Expected);
     sendUntil([&] { return upstream.frames.size() >= 4; });
+    EXPECT_GE(upstream.frames.size(), 4U);
     EXPECT_EQ(mismatched, 0);
 }
 
