Take free ports in the tests of paths and streams

Cause: two runs of the test program at once used the same fixed port; one of them got no socket, went on without it and never ended.

Change: ports are chosen by the system, and a socket that cannot be opened fails the test.

--- a/tests/node/framestream_test.cpp
+++ b/tests/node/framestream_test.cpp
@@ -1,5 +1,7 @@
 #include "node/framestream.h"
 
+#include "node/udpport.h"
+
 #include "wire/framecodec.h"
 #include "wire/streamframing.h"
 
@@ -46,7 +48,10 @@
 {
     asio::io_context context;
     std::string atServer;
-    const Endpoint local{Loopback, 17'431};
+    // The port number of a UDP socket that the system chose is free for TCP as well.
+    const auto reserved = UdpPort::open(context, {Loopback, 0}, [](std::string_view, Endpoint) {});
+    ASSERT_TRUE(reserved.has_value());
+    const Endpoint local = reserved.assume_value()->local();
     auto listener = FrameListener::open(context, local, [&](FrameStream *stream) {
         FrameStream::Handlers handlers;
         handlers.received = [&atServer, stream](std::string_view message) {
--- a/tests/node/upstreampath_test.cpp
+++ b/tests/node/upstreampath_test.cpp
@@ -8,7 +8,7 @@
 namespace damaskhall {
 namespace {
 
-constexpr Endpoint Address{0x7f000001, 17'441};
+constexpr std::uint32_t Loopback = 0x7f000001;
 /// Far more rounds of 5 ms than any of the tests needs; a path that never gets there fails it.
 constexpr int MaxRounds = 2'000;
 constexpr UpstreamIdentity Expected{UpstreamId{1}, ServiceId{10}};
@@ -20,25 +20,24 @@
     ProbedUpstream(asio::io_context &context, UpstreamIdentity identity)
     {
         const auto keep = [this](std::string_view message, Endpoint) { handle(message, nullptr); };
-        m_datagrams = openPort(context, keep);
-        auto listener = FrameListener::open(context, Address, [this](FrameStream *stream) {
+        auto datagrams = UdpPort::open(context, {Loopback, 0}, keep);
+        EXPECT_TRUE(datagrams.has_value());
+        m_datagrams = std::move(datagrams.assume_value());
+        auto listener = FrameListener::open(context, address(), [this](FrameStream *stream) {
             const auto received = [this, stream](std::string_view m) { handle(m, stream); };
             return FrameStream::Handlers{received, [] {}};
         });
+        EXPECT_TRUE(listener.has_value());
         m_listener = std::move(listener.assume_value());
         m_identity = identity;
     }
 
+    Endpoint address() const { return m_datagrams->local(); }
+
     std::vector<Frame> frames;
     int probes = 0;
 
 private:
-    static std::unique_ptr<UdpPort> openPort(asio::io_context &context,
-                                             const UdpPort::Receiver &receiver)
-    {
-        return std::move(UdpPort::open(context, Address, receiver).assume_value());
-    }
-
     void handle(std::string_view message, FrameStream *stream)
     {
         const Frame frame = decodeFrame(message).assume_value();
@@ -69,10 +68,10 @@
         return result;
     }
 
-    // Sends a request and a flow frame again and again until @p isDone.
-    void sendUntil(const std::function<bool()> &isDone)
+    // Sends a request and a flow frame to @p address again and again until @p isDone.
+    void sendUntil(Endpoint address, const std::function<bool()> &isDone)
     {
-        UpstreamPath path(context, Clock(), Address, Expected, handlers());
+        UpstreamPath path(context, Clock(), address, Expected, handlers());
         for (int i = 0; i < MaxRounds && !isDone(); ++i) {
             path.send(UpstreamRequest{AttemptId{1}, Expected.service, {}, {}, 5_s, "claim"},
                       PathChannel::Stream, Clock().now());
@@ -94,7 +93,7 @@
 TEST_F(UpstreamPathTest, SendsNothingToAnotherUpstreamAtTheAddress)
 {
     ProbedUpstream other(context, {UpstreamId{2}, ServiceId{20}});
-    sendUntil([&] { return mismatched >= 3; });
+    sendUntil(other.address(), [&] { return mismatched >= 3; });
     EXPECT_GE(mismatched, 3);
     EXPECT_GE(other.probes, 3);
     EXPECT_TRUE(other.frames.empty());
@@ -105,7 +104,7 @@
 TEST_F(UpstreamPathTest, SendsToTheExpectedUpstream)
 {
     ProbedUpstream upstream(context, Expected);
-    sendUntil([&] { return upstream.frames.size() >= 4; });
+    sendUntil(upstream.address(), [&] { return upstream.frames.size() >= 4; });
     EXPECT_GE(upstream.frames.size(), 4U);
     EXPECT_EQ(mismatched, 0);
 }
