Test the replacement of a silent connection between balancers

Cause: peer_reconnect was the only retry reason that no test saw moving.

Change: a peer that goes silent after its Hello; the pull must be repeated once on a new connection.

--- /dev/null
+++ b/tests/node/peerlinks_test.cpp
@@ -0,0 +1,92 @@
+#include "node/peerlinks.h"
+
+#include "node/framestream.h"
+#include "node/udpport.h"
+#include "wire/controlcodec.h"
+
+#include <gtest/gtest.h>
+
+namespace damaskhall {
+namespace {
+
+constexpr std::uint32_t Loopback = 0x7f000001;
+
+Endpoint freeEndpoint(asio::io_context &context)
+{
+    auto port = UdpPort::open(context, {Loopback, 0}, [](std::string_view, Endpoint) {});
+    return port.assume_value()->local();
+}
+
+// Peer whose first connection goes silent after the Hello; later ones answer.
+class SilentPeer
+{
+public:
+    explicit SilentPeer(asio::io_context &context)
+        : m_endpoint(freeEndpoint(context))
+    {
+        auto listener = FrameListener::open(context, m_endpoint, [this](FrameStream *stream) {
+            const bool isSilent = ++connections == 1;
+            const auto received = [stream, isSilent](std::string_view bytes) {
+                answer(*stream, decodeStreamMessage(std::string(bytes)).assume_value(), isSilent);
+            };
+            return FrameStream::Handlers{received, [] {}};
+        });
+        EXPECT_TRUE(listener.has_value());
+        m_listener = std::move(listener.assume_value());
+    }
+
+    Endpoint endpoint() const { return m_endpoint; }
+
+    int connections = 0;
+
+private:
+    static void answer(FrameStream &stream, const StreamMessage &message, bool isSilent)
+    {
+        if (std::holds_alternative<Hello>(message)) {
+            stream.send(encodeStreamMessage(Hello{ControlProtocolVersion, InstanceId{2}}));
+        } else if (std::holds_alternative<StatePull>(message) && !isSilent) {
+            stream.send(encodeStreamMessage(StateSnapshot{}));
+        }
+    }
+
+    Endpoint m_endpoint;
+    std::unique_ptr<FrameListener> m_listener;
+};
+
+// Guards against a pull that waits for ever on a connection which something between the two ends
+// has lost track of.
+TEST(PeerLinks, ReplaceAConnectionThatGoesSilentAndRepeatThePull)
+{
+    asio::io_context context;
+    SilentPeer peer(context);
+    int reconnects = 0;
+    int replies = 0;
+    int failures = 0;
+    PeerLinks::Hooks hooks;
+    hooks.answer = [](const StreamMessage &) -> std::optional<StreamMessage> { return {}; };
+    hooks.handleReply = [&](Endpoint, const StreamMessage &message) {
+        replies += std::holds_alternative<StateSnapshot>(message) ? 1 : 0;
+    };
+    hooks.handleFailure = [&](Endpoint) { ++failures; };
+    ControlHooks controlHooks;
+    controlHooks.random = seededRandom(1);
+    controlHooks.countRetry = [&](RetryReason reason) {
+        reconnects += reason == RetryReason::PeerReconnect ? 1 : 0;
+    };
+    controlHooks.countEvent = [](ControlEvent) {};
+    auto links =
+            PeerLinks::open(context, freeEndpoint(context), InstanceId{1}, hooks, controlHooks);
+    ASSERT_TRUE(links.has_value());
+    links.assume_value()->request(peer.endpoint(), StatePull{});
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (replies + failures == 0 && std::chrono::steady_clock::now() < end) {
+        context.run_for(std::chrono::milliseconds(50));
+    }
+    EXPECT_EQ(replies, 1);
+    EXPECT_EQ(failures, 0);
+    EXPECT_EQ(reconnects, 1);
+    EXPECT_EQ(peer.connections, 2);
+}
+
+} // namespace
+} // namespace damaskhall
