Use the field's terms in the control plane

Cause: some comments and two names used everyday words for suspicion and updates.

Change: names and comments only.

--- a/measure/faultrows.cpp
+++ b/measure/faultrows.cpp
@@ -114,7 +114,8 @@
     }
 }
 
-/// Counts uploads that were not stored, or whose caller was told so although no upstream has them.
+/// Counts uploads that were not stored, or that were reported as stored although no upstream has
+/// them.
 double lostUploads(const fakes::Session &session)
 {
     double lost = 0;
--- a/src/core/control/controlaction.h
+++ b/src/core/control/controlaction.h
@@ -11,7 +11,7 @@
 struct SendDatagram
 {
     Endpoint to;
-    /// Receiver, if known. It is told any doubt about it, so that it can refute.
+    /// Receiver, if known. It gets any suspicion about itself, so that it can refute.
     InstanceId receiver;
     ControlDatagram datagram;
 };
--- a/src/core/control/controlplane.cpp
+++ b/src/core/control/controlplane.cpp
@@ -7,11 +7,11 @@
 
 namespace {
 
-/// Members that hear of news at once, at each hop.
+/// Members that get an update at once, at each hop.
 constexpr std::size_t AnnounceFanOut = 4;
-/// Announcements in one go; more news goes out with the next tick.
+/// Announcements in one go; more updates go out with the next tick.
 constexpr std::size_t MaxAnnouncementsPerStep = 16;
-/// Digests differ while news spreads; only a lasting difference is worth a snapshot.
+/// Digests differ while updates spread; only a lasting difference is worth a snapshot.
 constexpr Milliseconds DigestSettleTime = 3_s;
 constexpr Milliseconds StatePullInterval = 10_s;
 /// Until the first snapshot has arrived.
@@ -54,7 +54,7 @@
             m_members.self().state == MemberState::Leaving, m_members.peerCount() + 1, m_listed};
     m_schedule.tick(situation, now, actions);
     finish(first, actions);
-    // A view is a copy of all members and upstreams, so that news of one tick shares one.
+    // A view is a copy of all members and upstreams, so that all updates of one tick share one.
     const bool hasChanged = !m_view || m_viewMembers != m_members.version() ||
                             m_viewUpstreams != m_upstreams.version() ||
                             m_view->declaration != m_config.declaration();
@@ -232,11 +232,11 @@
     gossip.sender = m_members.self();
     gossip.revision = m_config.revision();
     gossip.digest = digest();
-    // A doubted or dead receiver is told so in any case: only it can refute.
+    // A suspected or dead receiver gets this update in any case: only it can refute.
     const MemberUpdate *known = m_members.find(receiver);
-    const bool isDoubted =
+    const bool isSuspected =
             known && (known->state == MemberState::Suspect || known->state == MemberState::Dead);
-    if (isDoubted) {
+    if (isSuspected) {
         gossip.members.push_back(*known);
     }
     if (withUpdates) {
--- a/src/core/control/controlplane.h
+++ b/src/core/control/controlplane.h
@@ -79,7 +79,7 @@
                       ControlActions &actions);
     void compareState(const MemberUpdate &peer, std::uint64_t peerDigest, Milliseconds now,
                       ControlActions &actions);
-    /// Completes datagrams from @p firstAction on and announces news.
+    /// Completes datagrams from @p firstAction on and announces updates.
     void finish(std::size_t firstAction, ControlActions &actions);
 
     ControlPlaneOptions m_options;
--- a/src/core/control/membershipcontroller.cpp
+++ b/src/core/control/membershipcontroller.cpp
@@ -121,7 +121,7 @@
         // When separated halves meet, each holds the other's members for dead. The member gets the
         // time of a suspicion to refute, so that nothing moves away from it.
         member.report.counter = update.counter;
-        doubt(member, now);
+        suspect(member, now);
         return;
     }
     accept(update, now);
@@ -164,7 +164,7 @@
     spread(update);
 }
 
-void MembershipController::doubt(Member &member, Milliseconds now)
+void MembershipController::suspect(Member &member, Milliseconds now)
 {
     if (member.suspectUntil || member.report.state == MemberState::Dead) {
         return;
@@ -172,7 +172,7 @@
     m_hooks.countEvent(ControlEvent::MemberSuspected);
     member.suspectUntil = now + SuspicionTimeout;
     m_nextExpiry = std::min(m_nextExpiry, *member.suspectUntil);
-    // A leaving member is doubted too, but stays leaving for all: no new work goes to it.
+    // A leaving member is suspected too, but stays leaving for all: no new work goes to it.
     if (member.report.state == MemberState::Alive) {
         member.report.state = MemberState::Suspect;
         refresh();
@@ -323,7 +323,7 @@
     const Milliseconds waited = now - m_probe->sentAt;
     if (waited >= ProbeTimeout) {
         m_probe.reset();
-        doubt(target->second, now);
+        suspect(target->second, now);
         return;
     }
     if (waited < DirectTimeout || m_probe->isIndirect) {
--- a/src/core/control/membershipcontroller.h
+++ b/src/core/control/membershipcontroller.h
@@ -61,7 +61,7 @@
     struct Member
     {
         MemberUpdate report;
-        /// Set while the member is doubted; it is declared dead when this passes.
+        /// Set while the member is suspected; it is declared dead when this passes.
         std::optional<Milliseconds> suspectUntil;
         Milliseconds deadSince;
     };
@@ -86,7 +86,7 @@
     void noteTime(Milliseconds now);
     void mergeSelf(const MemberUpdate &update);
     void accept(const MemberUpdate &update, Milliseconds now);
-    void doubt(Member &member, Milliseconds now);
+    void suspect(Member &member, Milliseconds now);
     void declareDead(Member &member, Milliseconds now);
     void dropPredecessorsAt(const MemberUpdate &update, Milliseconds now);
     void spread(const MemberUpdate &update);
--- a/src/core/control/upstreamcontroller.h
+++ b/src/core/control/upstreamcontroller.h
@@ -22,7 +22,7 @@
     /// platform, however long, removes nothing.
     void handleList(const std::vector<UpstreamUpdate> &listed, Milliseconds now,
                     std::uint32_t sends);
-    /// Marks an upstream as leaving; it stays so for ever. Unknown ids are ignored.
+    /// Marks an upstream as leaving; the mark is never withdrawn. Unknown ids are ignored.
     void reportLeaving(UpstreamId id, Milliseconds now, std::uint32_t sends);
     /// Forgets removed entries after some time.
     void expire(Milliseconds now);
--- a/tests/core/control/controlcluster_test.cpp
+++ b/tests/core/control/controlcluster_test.cpp
@@ -171,7 +171,7 @@
     EXPECT_TRUE(isSeen());
 }
 
-// Guards against an outage that empties the directory, and against entries that stay for ever.
+// Guards against an outage that empties the directory, and against entries that are never removed.
 TEST_F(NineBalancers, RemoveUpstreamsOnlyByTheList)
 {
     {
--- a/tests/node/peerlinks_test.cpp
+++ b/tests/node/peerlinks_test.cpp
@@ -53,7 +53,7 @@
     std::unique_ptr<FrameListener> m_listener;
 };
 
-// Guards against a pull that waits for ever on a connection which something between the two ends
+// Guards against a pull that never ends on a connection which something between the two ends
 // has lost track of.
 TEST(PeerLinks, ReplaceAConnectionThatGoesSilentAndRepeatThePull)
 {
