Give the files of the command-line tests a name per process

Cause: two runs of the test program at once shared two temporary files; several of the command-line tests failed then.

Change: the names carry the process id.

--- a/tests/apps/ctl_test.cpp
+++ b/tests/apps/ctl_test.cpp
@@ -8,6 +8,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <sstream>
+#include <unistd.h>
 
 namespace damaskhall {
 namespace {
@@ -100,8 +101,9 @@
         return status;
     }
 
-    const std::string goodFile = testing::TempDir() + "ctl-good.ini";
-    const std::string betterFile = testing::TempDir() + "ctl-better.ini";
+    const std::string goodFile = testing::TempDir() + std::to_string(getpid()) + "-ctl-good.ini";
+    const std::string betterFile =
+            testing::TempDir() + std::to_string(getpid()) + "-ctl-better.ini";
     PlatformValue value;
     bool isPlatformDown = false;
     bool losesWrites = false;
