Share the dispatcher lookup and the socket address conversion

Cause: a last read of the change found the search for a subject's dispatcher twice in the router, the conversion of socket addresses in two files, and a view method without callers.

Change: Router::otherDispatcher() and node/systemaddress.h serve both places each; RoutingView::liveUpstreams() is removed. Behaviour is unchanged.

The sanitizer builds were not repeated.

--- a/measure/loopbacksocket.cpp
+++ b/measure/loopbacksocket.cpp
@@ -1,5 +1,7 @@
 #include "measure/loopbacksocket.h"
 
+#include "node/systemaddress.h"
+
 #include <arpa/inet.h>
 #include <cerrno>
 #include <netinet/in.h>
@@ -17,20 +19,6 @@
 constexpr int BufferBytes = 4 * 1024 * 1024;
 constexpr int ReceiveTimeoutUs = 10'000;
 
-sockaddr_in toSystem(Endpoint endpoint)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(endpoint.address);
-    address.sin_port = htons(endpoint.port);
-    return address;
-}
-
-Endpoint fromSystem(const sockaddr_in &address)
-{
-    return {ntohl(address.sin_addr.s_addr), ntohs(address.sin_port)};
-}
-
 } // namespace
 
 LoopbackSocket::LoopbackSocket()
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -182,17 +182,24 @@
         refuse(subjectOf(frame), caller, *refused, frame.service, frame.workClass, actions);
         return;
     }
-    const std::uint32_t shards = shardCount(liveUpstreams(frame.service));
-    const std::uint32_t shard = shardOfSubject(subjectOf(frame), shards);
-    const auto dispatcher = dispatcherOf(*m_view, frame.service, shard);
-    const MemberView *peer = dispatcher ? m_view->findMember(*dispatcher) : nullptr;
-    if (!peer || peer->id == m_self || hops >= MaxRelayHops) {
+    const MemberView *peer = otherDispatcher(frame.service, subjectOf(frame));
+    if (!peer || hops >= MaxRelayHops) {
         admitLocally(frame, caller, now, actions);
         return;
     }
     actions.push_back(relay(*peer, frame, caller, hops));
 }
 
+const MemberView *Router::otherDispatcher(ServiceId service, std::uint64_t subject) const
+{
+    const std::uint32_t shards = shardCount(liveUpstreams(service));
+    const auto dispatcher = dispatcherOf(*m_view, service, shardOfSubject(subject, shards));
+    if (!dispatcher || *dispatcher == m_self) {
+        return nullptr;
+    }
+    return m_view->findMember(*dispatcher);
+}
+
 void Router::admitLocally(const Open &frame, Endpoint caller, Milliseconds now, Actions &actions)
 {
     m_dispatcher.open(frame, caller, now, actions);
@@ -273,11 +280,8 @@
         return;
     }
     // Without a permit the request waits at the dispatcher, if anywhere.
-    const std::uint32_t shards = shardCount(liveUpstreams(frame.service));
-    const auto dispatcher =
-            dispatcherOf(*m_view, frame.service, shardOfSubject(frame.request.value, shards));
-    const MemberView *peer = dispatcher ? m_view->findMember(*dispatcher) : nullptr;
-    if (!peer || peer->id == m_self || hops >= MaxRelayHops) {
+    const MemberView *peer = otherDispatcher(frame.service, frame.request.value);
+    if (!peer || hops >= MaxRelayHops) {
         m_dispatcher.cancel(frame, now, actions);
         return;
     }
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -84,6 +84,8 @@
     void drop(RefusalReason reason, ServiceId service = {}, ClassId workClass = {});
     std::optional<Token> openToken(const SealedToken &sealed);
     std::size_t liveUpstreams(ServiceId service) const;
+    /// Returns the balancer that dispatches @p subject, or null if this one does.
+    const MemberView *otherDispatcher(ServiceId service, std::uint64_t subject) const;
     std::shared_ptr<const RoutingView> withSelfLeaving(const RoutingView &view) const;
     bool isMember(Endpoint endpoint) const;
     bool isUpstream(Endpoint endpoint, UpstreamId id) const;
--- a/src/core/routingview.cpp
+++ b/src/core/routingview.cpp
@@ -17,16 +17,4 @@
     return found == upstreams.end() ? nullptr : &found->second;
 }
 
-std::vector<UpstreamView> RoutingView::liveUpstreams(ServiceId service) const
-{
-    std::vector<UpstreamView> live;
-    for (const auto &[id, upstream] : upstreams) {
-        if (upstream.service == service && upstream.state == UpstreamState::Live) {
-            live.push_back(upstream);
-        }
-    }
-    std::sort(live.begin(), live.end(), [](const auto &a, const auto &b) { return a.id < b.id; });
-    return live;
-}
-
 } // namespace damaskhall
--- a/src/core/routingview.h
+++ b/src/core/routingview.h
@@ -61,8 +61,6 @@
     const MemberView *findMember(InstanceId id) const;
     /// Returns the upstream, or null.
     const UpstreamView *findUpstream(UpstreamId id) const;
-    /// Returns the live upstreams of @p service, sorted by id.
-    std::vector<UpstreamView> liveUpstreams(ServiceId service) const;
 };
 
 } // namespace damaskhall
--- a/src/node/udpport.cpp
+++ b/src/node/udpport.cpp
@@ -1,5 +1,7 @@
 #include "node/udpport.h"
 
+#include "node/systemaddress.h"
+
 #include <algorithm>
 #include <array>
 #include <asio/ip/udp.hpp>
@@ -26,20 +28,6 @@
     return {asio::ip::address_v4(endpoint.address), endpoint.port};
 }
 
-sockaddr_in toSystem(Endpoint endpoint)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(endpoint.address);
-    address.sin_port = htons(endpoint.port);
-    return address;
-}
-
-Endpoint fromSystem(const sockaddr_in &address)
-{
-    return {ntohl(address.sin_addr.s_addr), ntohs(address.sin_port)};
-}
-
 /// Headers and buffers of one recvmmsg() call. One per thread serves all of its sockets; pages of
 /// the buffers that no datagram reaches cost no memory.
 struct ReadBatch
