--- a/measure/loopbackrows.cpp
+++ b/measure/loopbackrows.cpp
@@ -1,13 +1,13 @@
 #include "measure/loopbackrows.h"
 
 #include "core/router.h"
+#include "io/udpport.h"
 #include "measure/fleet.h"
 #include "measure/loopbacksocket.h"
 #include "measure/report.h"
 #include "measure/statistics.h"
 #include "node/framestream.h"
 #include "node/trafficworker.h"
-#include "node/udpport.h"
 #include "wire/framecodec.h"
 #include "wire/tokensealer.h"
 
--- a/measure/loopbacksocket.cpp
+++ b/measure/loopbacksocket.cpp
@@ -1,6 +1,6 @@
 #include "measure/loopbacksocket.h"
 
-#include "node/systemaddress.h"
+#include "io/systemaddress.h"
 
 #include <arpa/inet.h>
 #include <cerrno>
--- a/src/config/configfile.cpp
+++ b/src/config/configfile.cpp
@@ -1,6 +1,7 @@
 #include "config/configfile.h"
 
 #include "config/declarationparser.h"
+#include "config/forwardersettings.h"
 #include "config/inidocument.h"
 #include "config/settings.h"
 
@@ -35,6 +36,8 @@
     const IniDocument document = IniDocument::scan(text, diagnostics);
     if (document.findSection("balancer")) {
         checkSettings(document, {}, diagnostics);
+    } else if (document.findSection("forwarder")) {
+        checkForwarderSettings(document, diagnostics);
     } else {
         checkDeclaration(document, diagnostics);
     }
--- /dev/null
+++ b/src/config/forwardersettings.cpp
@@ -0,0 +1,123 @@
+#include "config/forwardersettings.h"
+
+#include "config/settingvalues.h"
+#include "config/units.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace damaskhall {
+
+namespace {
+
+constexpr const char *SectionName = "forwarder";
+
+struct Field
+{
+    std::string key;
+    bool isRequired = false;
+    std::string expected;
+    /// Reads a value; returns false if it is not as expected.
+    std::function<bool(ForwarderSettings &, const std::string &)> read;
+};
+
+Field nameField(std::string key, std::string ForwarderSettings::*member)
+{
+    return {std::move(key), true, "a name without spaces",
+            [member](ForwarderSettings &settings, const std::string &text) {
+                settings.*member = text;
+                return !text.empty() && text.find(' ') == std::string::npos;
+            }};
+}
+
+Field endpointField(std::string key, bool isRequired, Endpoint ForwarderSettings::*member)
+{
+    return {std::move(key), isRequired, "an address and port such as 10.0.0.1:7001",
+            [member, isRequired](ForwarderSettings &settings, const std::string &text) {
+                return (text.empty() && !isRequired) || readEndpoint(text, settings.*member);
+            }};
+}
+
+Field durationField(std::string key, Milliseconds ForwarderSettings::*member)
+{
+    return {std::move(key), true, "a whole number with unit above zero, such as '3000 ms'",
+            [member](ForwarderSettings &settings, const std::string &text) {
+                settings.*member = parseDuration(text).value_or(0_ms);
+                return settings.*member > 0_ms;
+            }};
+}
+
+std::vector<Field> allFields()
+{
+    return {
+            nameField("name", &ForwarderSettings::name),
+            nameField("data_centre", &ForwarderSettings::dataCentre),
+            endpointField("listen", true, &ForwarderSettings::listen),
+            endpointField("status_listen", true, &ForwarderSettings::statusListen),
+            endpointField("peer_listen", false, &ForwarderSettings::peerListen),
+            endpointField("store", true, &ForwarderSettings::store),
+            {"seeds", false, "addresses and ports, separated by commas, or nothing",
+             [](ForwarderSettings &settings, const std::string &text) {
+                 return text.empty() || readEndpoints(text, settings.seeds);
+             }},
+            durationField("leaving_limit", &ForwarderSettings::leavingLimit),
+            durationField("declaration_limit", &ForwarderSettings::declarationLimit),
+            durationField("flow_lifetime", &ForwarderSettings::flowLifetime),
+            durationField("stop_limit", &ForwarderSettings::stopLimit),
+            durationField("confirmation", &ForwarderSettings::confirmation),
+            durationField("heartbeat", &ForwarderSettings::heartbeat),
+            {"log_level", false, "debug, info, warn or error",
+             [](ForwarderSettings &settings, const std::string &text) {
+                 return readLogLevel(text, settings.logLevel);
+             }},
+    };
+}
+
+void checkNames(const IniDocument &document, const std::vector<Field> &fields,
+                Diagnostics &diagnostics)
+{
+    std::vector<std::string> known;
+    known.reserve(fields.size());
+    for (const Field &field : fields) {
+        known.push_back(field.key);
+    }
+    for (const IniSection &section : document.sections()) {
+        if (section.kind != SectionName) {
+            diagnostics.add(section.line, "section " + section.title(),
+                            "only the section [forwarder]");
+            continue;
+        }
+        for (const IniEntry &entry : section.entries) {
+            if (std::find(known.begin(), known.end(), entry.key) == known.end()) {
+                const std::string nearest = nearestName(entry.key, known);
+                diagnostics.add(entry.line, "key '" + entry.key + "'",
+                                nearest.empty() ? "a key of docs/OPERATIONS.md"
+                                                : "'" + nearest + "'");
+            }
+        }
+    }
+}
+
+} // namespace
+
+ForwarderSettings checkForwarderSettings(const IniDocument &document, Diagnostics &diagnostics)
+{
+    const std::vector<Field> fields = allFields();
+    const IniSection *section = document.findSection(SectionName);
+    checkNames(document, fields, diagnostics);
+    ForwarderSettings settings;
+    for (const Field &field : fields) {
+        const IniEntry *entry = section ? section->find(field.key) : nullptr;
+        if (!entry) {
+            if (field.isRequired) {
+                diagnostics.add(section ? section->line : 0, "no " + field.key,
+                                "'" + field.key + " = ...'");
+            }
+        } else if (!field.read(settings, entry->value)) {
+            diagnostics.add(entry->line, field.key + " = '" + entry->value + "'", field.expected);
+        }
+    }
+    return settings;
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/config/forwardersettings.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/milliseconds.h"
+#include "config/diagnostics.h"
+#include "config/inidocument.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace damaskhall {
+
+/// Settings of one flow forwarder. Thread safety: a plain value.
+struct ForwarderSettings
+{
+    /// Name of the instance in logs.
+    std::string name;
+    std::string dataCentre;
+    /// UDP: packets of clients and to upstreams.
+    Endpoint listen;
+    /// TCP: readiness and metrics.
+    Endpoint statusListen;
+    /// UDP: other forwarders; null: none.
+    Endpoint peerListen;
+    /// Peer sockets of instances to ask first; may be out of date.
+    std::vector<Endpoint> seeds;
+    Endpoint store;
+    /// Time from the store's acceptance of an upstream's leaving to its last new flow.
+    Milliseconds leavingLimit;
+    /// Time from the store's acceptance of a declaration until it is in force everywhere.
+    Milliseconds declarationLimit;
+    /// Longest life of a flow.
+    Milliseconds flowLifetime;
+    /// Time from the request to stop until the process is killed.
+    Milliseconds stopLimit;
+    /// Time after the store's return within which lapsed entries are written again.
+    Milliseconds confirmation;
+    /// Interval of the upstreams' heartbeats.
+    Milliseconds heartbeat;
+    std::string logLevel = "info";
+};
+
+/// Checks the section [forwarder] of @p document as a whole and adds every mistake to
+/// @p diagnostics. The returned settings are complete only if none was added. Unknown keys are
+/// mistakes. Thread safety: reentrant.
+ForwarderSettings checkForwarderSettings(const IniDocument &document, Diagnostics &diagnostics);
+
+} // namespace damaskhall
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,5 +1,6 @@
 #include "config/settings.h"
 
+#include "config/settingvalues.h"
 #include "config/units.h"
 
 #include <algorithm>
@@ -36,43 +37,6 @@
     return code == std::errc() && rest == end;
 }
 
-bool readEndpoint(const std::string &text, Endpoint &endpoint)
-{
-    const Result<Endpoint> parsed = parseEndpoint(text);
-    if (!parsed) {
-        return false;
-    }
-    endpoint = parsed.assume_value();
-    return true;
-}
-
-std::vector<std::string> splitList(const std::string &text)
-{
-    std::vector<std::string> items;
-    std::size_t begin = 0;
-    while (begin <= text.size()) {
-        const std::size_t end = std::min(text.find(',', begin), text.size());
-        std::string item = text.substr(begin, end - begin);
-        std::erase(item, ' ');
-        items.push_back(std::move(item));
-        begin = end + 1;
-    }
-    return items;
-}
-
-bool readEndpoints(const std::string &text, std::vector<Endpoint> &endpoints)
-{
-    endpoints.clear();
-    for (const std::string &item : splitList(text)) {
-        Endpoint endpoint;
-        if (!readEndpoint(item, endpoint)) {
-            return false;
-        }
-        endpoints.push_back(endpoint);
-    }
-    return true;
-}
-
 // Reads "ID:HEX", or "HEX" for id 0.
 bool readTokenKey(Settings &settings, std::string_view text)
 {
@@ -108,13 +72,6 @@
     return true;
 }
 
-bool readLogLevel(Settings &settings, const std::string &text)
-{
-    const std::vector<std::string> levels = {"debug", "info", "warn", "error"};
-    settings.logLevel = text;
-    return std::find(levels.begin(), levels.end(), text) != levels.end();
-}
-
 Field endpointField(SettingsKey key, bool isRequired, Endpoint Settings::*member)
 {
     return {std::move(key), isRequired, "an address and port such as 10.0.0.1:7001",
@@ -200,7 +157,9 @@
             {{"log_level", "log-level", "debug, info, warn or error (default: info)"},
              false,
              "debug, info, warn or error",
-             &readLogLevel},
+             [](Settings &settings, const std::string &text) {
+                 return readLogLevel(text, settings.logLevel);
+             }},
     };
 }
 
--- /dev/null
+++ b/src/core/flow/flowcontroller.cpp
@@ -0,0 +1,128 @@
+#include "core/flow/flowcontroller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace damaskhall {
+
+FlowController::FlowController(Times times, FlowControlHooks hooks)
+    : m_times(times)
+    , m_hooks(std::move(hooks))
+    , m_reader(times.reader, m_hooks.random)
+    , m_directory(times.directory)
+{
+}
+
+std::optional<StoreCall> FlowController::nextCall(Milliseconds now)
+{
+    auto call = m_reader.next(now);
+    if (call && call->kind == StoreCall::Kind::List && call->pageAfter.empty()) {
+        m_listed.clear();
+        m_listRevision = {};
+    }
+    return call;
+}
+
+void FlowController::handleReply(const StoreReply &reply, Milliseconds now)
+{
+    const bool isList = !m_reader.isFollowing();
+    m_reader.handleEnd(reply.outcome, reply.asOf, reply.nextPage, now);
+    reportStoreChange(reply, now);
+    if (reply.outcome != StoreOutcome::Done) {
+        return;
+    }
+    for (const StoreChange &change : reply.changes) {
+        take(change, now);
+        if (const auto *entry = std::get_if<UpstreamEntry>(&change.content); entry && isList) {
+            m_listed.push_back(entry->key.id);
+        }
+    }
+    if (isList) {
+        m_listRevision = m_listRevision == Revision{} ? reply.asOf : m_listRevision;
+        if (!reply.nextPage) {
+            m_directory.handleListEnd(std::exchange(m_listed, {}), m_listRevision, now);
+        }
+    }
+}
+
+void FlowController::take(const StoreChange &change, Milliseconds now)
+{
+    const std::uint64_t version = m_directory.version();
+    if (const auto *entry = std::get_if<UpstreamEntry>(&change.content)) {
+        m_directory.handleEntry(*entry, change.revision, now);
+        if (m_directory.version() != version) {
+            m_hooks.reportUpstream(m_directory.record(entry->key), change.revision);
+        }
+        return;
+    }
+    if (const auto *removal = std::get_if<UpstreamRemoval>(&change.content)) {
+        if (!removal->mistake.empty()) {
+            m_hooks.reportMistake(removal->mistake, change.revision);
+        }
+        const auto key = m_directory.present(removal->id);
+        m_directory.handleRemoval(removal->id, change.revision, now);
+        if (key && m_directory.version() != version) {
+            m_hooks.reportUpstream(m_directory.record(*key), change.revision);
+        }
+        return;
+    }
+    takeDeclaration(std::get<DeclaredRoutes>(change.content), change.revision);
+}
+
+// A declaration is applied whole, and only if it is newer than the one in force.
+void FlowController::takeDeclaration(const DeclaredRoutes &declared, Revision revision)
+{
+    if (!declared.table) {
+        m_hooks.reportMistake(declared.mistake, revision);
+        return;
+    }
+    if (m_routes && declared.table->revision <= m_routes->revision) {
+        return;
+    }
+    m_routes = declared.table;
+    m_isChanged = true;
+    m_hooks.reportDeclaration(*m_routes);
+}
+
+void FlowController::reportStoreChange(const StoreReply &reply, Milliseconds now)
+{
+    const bool isAway = m_reader.isAway();
+    if (isAway == m_wasAway) {
+        return;
+    }
+    m_wasAway = isAway;
+    if (isAway) {
+        m_directory.handleStoreLost(now);
+    } else {
+        m_directory.handleStoreRegained(now);
+    }
+    m_hooks.reportStore(isAway, reply.detail);
+}
+
+void FlowController::tick(Milliseconds now)
+{
+    m_directory.tick(now);
+}
+
+bool FlowController::isCurrent(Milliseconds now) const
+{
+    const auto confirmed = m_reader.confirmedAt();
+    return confirmed && now - *confirmed < m_times.confirmation;
+}
+
+std::shared_ptr<const FlowView> FlowController::takeView(Milliseconds now)
+{
+    if (!isUsable()) {
+        return nullptr;
+    }
+    const bool isNowCurrent = isCurrent(now);
+    if (!m_isChanged && m_viewVersion == m_directory.version() && isNowCurrent == m_wasCurrent) {
+        return nullptr;
+    }
+    m_isChanged = false;
+    m_wasCurrent = isNowCurrent;
+    m_viewVersion = m_directory.version();
+    return std::make_shared<const FlowView>(m_routes, m_directory.records(), isNowCurrent);
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/flow/flowcontroller.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "core/flow/flowview.h"
+#include "core/flow/storereader.h"
+#include "core/flow/upstreamdirectory.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace damaskhall {
+
+/// The entry of an upstream was removed, or can no longer be read.
+struct UpstreamRemoval
+{
+    UpstreamId id;
+    /// Empty: removed. Otherwise why the entry cannot be read.
+    std::string mistake;
+};
+
+/// The declaration, or why the stored one cannot be read.
+struct DeclaredRoutes
+{
+    /// Null if it cannot be read.
+    std::shared_ptr<const RouteTable> table;
+    std::string mistake;
+};
+
+/// An item of the store as it was written at a revision.
+struct StoreChange
+{
+    Revision revision;
+    std::variant<UpstreamEntry, UpstreamRemoval, DeclaredRoutes> content;
+};
+
+/// Answer to a StoreCall. Thread safety: a plain value.
+struct StoreReply
+{
+    StoreOutcome outcome = StoreOutcome::Unanswered;
+    Revision asOf;
+    std::vector<StoreChange> changes;
+    /// Key after which the next page begins.
+    std::optional<std::string> nextPage;
+    /// What went wrong, for the log.
+    std::string detail;
+};
+
+/// What the controller reports; each is a line of the log and a counter.
+struct FlowControlHooks
+{
+    RandomSource random;
+    std::function<void(const UpstreamRecord &, Revision)> reportUpstream;
+    std::function<void(const RouteTable &)> reportDeclaration;
+    std::function<void(const std::string &mistake, Revision)> reportMistake;
+    std::function<void(bool isAway, const std::string &detail)> reportStore;
+};
+
+/// Control state of one balancer: the declaration and the upstreams, from the platform's store.
+/// Deterministic; holds no clock, thread or socket. Thread safety: none.
+class FlowController
+{
+public:
+    struct Times
+    {
+        StoreReader::Times reader;
+        DirectoryTimes directory;
+        /// Age of the last answer of the store up to which its absence of an item is believed.
+        Milliseconds confirmation = 2500_ms;
+    };
+
+    /// Precondition: all hooks are set.
+    FlowController(Times times, FlowControlHooks hooks);
+
+    /// Returns the store call that is due, or nothing.
+    std::optional<StoreCall> nextCall(Milliseconds now);
+    void handleReply(const StoreReply &reply, Milliseconds now);
+    void tick(Milliseconds now);
+
+    /// Returns a new view if anything changed since the last one, or null.
+    std::shared_ptr<const FlowView> takeView(Milliseconds now);
+    /// True once packets can be placed.
+    bool isUsable() const { return m_routes != nullptr && m_directory.isComplete(); }
+    /// Revision of the declaration in force; zero: none yet.
+    Revision revision() const { return m_routes ? m_routes->revision : Revision{}; }
+    const UpstreamDirectory &directory() const { return m_directory; }
+    bool isStoreAway() const { return m_reader.isAway(); }
+
+private:
+    void take(const StoreChange &change, Milliseconds now);
+    void takeDeclaration(const DeclaredRoutes &declared, Revision revision);
+    void reportStoreChange(const StoreReply &reply, Milliseconds now);
+    bool isCurrent(Milliseconds now) const;
+
+    Times m_times;
+    FlowControlHooks m_hooks;
+    StoreReader m_reader;
+    UpstreamDirectory m_directory;
+    std::shared_ptr<const RouteTable> m_routes;
+    /// Ids seen on the pages of the list under way.
+    std::vector<UpstreamId> m_listed;
+    Revision m_listRevision;
+    bool m_wasAway = false;
+    bool m_isChanged = false;
+    bool m_wasCurrent = false;
+    std::uint64_t m_viewVersion = 0;
+};
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/flow/flowrouter.cpp
@@ -0,0 +1,261 @@
+#include "core/flow/flowrouter.h"
+
+#include <array>
+#include <utility>
+
+namespace damaskhall {
+
+namespace {
+
+/// Interval of housekeeping; averages and forgotten flows need no finer one.
+constexpr Milliseconds TickInterval = 100_ms;
+
+constexpr std::int32_t distance(std::uint32_t from, std::uint32_t to)
+{
+    return static_cast<std::int32_t>(to - from);
+}
+
+FlowDecision refuse(FlowAction action, FlowReason reason)
+{
+    FlowDecision decision;
+    decision.action = action;
+    decision.reason = reason;
+    return decision;
+}
+
+} // namespace
+
+FlowRouter::FlowRouter(DataCentreId dataCentre, FlowHooks hooks)
+    : m_dataCentre(dataCentre)
+    , m_hooks(std::move(hooks))
+    , m_flows(m_ledger)
+    , m_placement(dataCentre)
+{
+}
+
+void FlowRouter::handleView(std::shared_ptr<const FlowView> view)
+{
+    m_view = std::move(view);
+    m_ledger.handleView(*m_view);
+}
+
+FlowDecision FlowRouter::handlePacket(const FlowPacket &packet, Milliseconds now)
+{
+    static constexpr std::array<Filter, 5> Chain = {
+            &FlowRouter::filterNotStarted, &FlowRouter::filterRoute, &FlowRouter::filterOpening,
+            &FlowRouter::filterKnownFlow, &FlowRouter::filterCookie};
+    Context context{packet, now};
+    FlowDecision decision = refuse(FlowAction::Drop, FlowReason::NoCookie);
+    for (const Filter filter : Chain) {
+        if (const auto decided = (this->*filter)(context)) {
+            decision = *decided;
+            break;
+        }
+    }
+    m_hooks.report(packet, decision, now);
+    return decision;
+}
+
+std::optional<FlowDecision> FlowRouter::filterNotStarted(Context &)
+{
+    if (m_view->isUsable()) {
+        return std::nullopt;
+    }
+    return refuse(FlowAction::Hold, FlowReason::NotStarted);
+}
+
+// A removed route ends its flows. What an outdated declaration lacks may exist, so the client is
+// told nothing then.
+std::optional<FlowDecision> FlowRouter::filterRoute(Context &context)
+{
+    const FlowKey &key = context.packet.key;
+    context.route = m_view->routes().find(key.route);
+    context.flow = m_flows.find(key);
+    if (context.route) {
+        return std::nullopt;
+    }
+    if (!m_view->isCurrent()) {
+        if (context.packet.isOpening) {
+            return refuse(FlowAction::Drop, FlowReason::NoRouteUnconfirmed);
+        }
+        return std::nullopt;
+    }
+    const bool isKnown = context.flow != nullptr;
+    m_flows.erase(key);
+    if (context.packet.isReset) {
+        return refuse(FlowAction::Drop, FlowReason::NoRoute);
+    }
+    return refuse(FlowAction::Reset, isKnown ? FlowReason::RouteRemoved : FlowReason::NoRoute);
+}
+
+std::optional<FlowDecision> FlowRouter::filterOpening(Context &context)
+{
+    if (!context.packet.isOpening) {
+        return std::nullopt;
+    }
+    if (!context.flow) {
+        return place(context, std::nullopt, FlowReason::Placed);
+    }
+    Flow &flow = *context.flow;
+    const UpstreamRecord *record = m_view->find(flow.upstream);
+    const bool mayServe = record && (record->standing == UpstreamStanding::Ready ||
+                                     record->standing == UpstreamStanding::Unconfirmed);
+    // Two upstreams that answer one client confuse it, so a copy moves only away from an upstream
+    // that shows no life.
+    const UpstreamAccount &account = m_ledger.at(flow.account);
+    const bool isAlive = !Placement::isSilent(account, context.now);
+    if (mayServe && (isAlive || flow.phase != FlowPhase::Opening)) {
+        flow.lastSeen = context.now;
+        m_ledger.noteOpening(flow.account, context.now);
+        return forward(context, *record, FlowReason::OpeningRepeated);
+    }
+    const UpstreamKey last = flow.upstream;
+    m_flows.erase(context.packet.key);
+    return place(context, last, FlowReason::OpeningMoved);
+}
+
+FlowDecision FlowRouter::place(Context &context, std::optional<UpstreamKey> avoided,
+                               FlowReason reason)
+{
+    const ServiceId service = chooseService(*context.route, m_hooks.random());
+    const UpstreamRecord *record =
+            m_placement.choose(*m_view, m_ledger, service, avoided, context.now, m_hooks.random);
+    if (!record) {
+        return m_view->isCurrent() ? refuse(FlowAction::Reset, FlowReason::NoUpstream)
+                                   : refuse(FlowAction::Drop, FlowReason::NoUpstreamUnconfirmed);
+    }
+    Flow &flow =
+            m_flows.insert(context.packet.key, record->entry.key, FlowPhase::Opening, context.now);
+    flow.lastOpeningAt = context.now;
+    flow.sentEnd = context.packet.sequence + 1;
+    m_ledger.noteOpening(flow.account, context.now);
+    return forward(context, *record, reason);
+}
+
+FlowDecision FlowRouter::forward(const Context &context, const UpstreamRecord &record,
+                                 FlowReason reason) const
+{
+    FlowDecision decision;
+    decision.action = FlowAction::Forward;
+    decision.reason = reason;
+    decision.upstream = record.entry.key;
+    decision.endpoint = record.entry.endpoint;
+    decision.cookie = flowCookie(record.entry.key, context.packet.key.route);
+    return decision;
+}
+
+std::optional<FlowDecision> FlowRouter::filterKnownFlow(Context &context)
+{
+    if (!context.flow) {
+        return std::nullopt;
+    }
+    Flow &flow = *context.flow;
+    const FlowPacket &packet = context.packet;
+    if (flow.phase == FlowPhase::Opening) {
+        // The first packet after the handshake names the upstream that the client accepted; copies
+        // of the opening packet may have gone to another one.
+        const UpstreamRecord *accepted = m_view->findByCookie(packet.cookie, packet.key.route);
+        if (accepted && accepted->entry.key != flow.upstream) {
+            m_flows.move(flow, accepted->entry.key);
+        }
+    }
+    const UpstreamRecord *record = m_view->find(flow.upstream);
+    if (const auto lost = filterLostUpstream(context, record)) {
+        m_flows.erase(packet.key);
+        return lost;
+    }
+    const FlowDecision decision = forward(context, *record, FlowReason::Established);
+    observe(context);
+    return decision;
+}
+
+std::optional<FlowDecision> FlowRouter::filterCookie(Context &context)
+{
+    const FlowPacket &packet = context.packet;
+    if (packet.cookie == FlowCookie{}) {
+        return refuse(FlowAction::Drop, FlowReason::NoCookie);
+    }
+    const UpstreamRecord *record = m_view->findByCookie(packet.cookie, packet.key.route);
+    if (!record) {
+        return refuse(FlowAction::Drop, FlowReason::UnknownCookie);
+    }
+    if (const auto lost = filterLostUpstream(context, record)) {
+        return lost;
+    }
+    const FlowDecision decision = forward(context, *record, FlowReason::Recovered);
+    if (!packet.isReset && !packet.isClosing) {
+        Flow &flow = m_flows.insert(packet.key, record->entry.key, FlowPhase::Open, context.now);
+        flow.acknowledged = packet.acknowledgment;
+        flow.sentEnd = packet.sequence;
+        context.flow = &flow;
+        observe(context);
+    }
+    return decision;
+}
+
+// A flow ends with the process that holds it. Resetting it lets the client come again at once
+// instead of waiting for its time limit.
+std::optional<FlowDecision> FlowRouter::filterLostUpstream(const Context &context,
+                                                           const UpstreamRecord *record) const
+{
+    const FlowAction action = context.packet.isReset ? FlowAction::Drop : FlowAction::Reset;
+    if (!record || record->standing == UpstreamStanding::Replaced) {
+        return refuse(action, FlowReason::UpstreamReplaced);
+    }
+    return std::nullopt;
+}
+
+// Learns from the client's half of the flow how its upstream works.
+void FlowRouter::observe(Context &context)
+{
+    Flow &flow = *context.flow;
+    const FlowPacket &packet = context.packet;
+    const Milliseconds now = context.now;
+    flow.lastSeen = now;
+    if (flow.phase == FlowPhase::Opening) {
+        m_flows.setPhase(flow, FlowPhase::Open);
+        flow.acknowledged = packet.acknowledgment;
+        m_ledger.noteSign(flow.account, now);
+    }
+    if (distance(flow.acknowledged, packet.acknowledgment) > 0) {
+        flow.acknowledged = packet.acknowledgment;
+        if (flow.isBusy) {
+            const Milliseconds duration = now - flow.requestAt;
+            m_flows.setBusy(flow, false);
+            m_ledger.noteAnswer(flow.account, duration, now);
+            m_hooks.reportAnswer(packet, flow.upstream, duration);
+        }
+        m_ledger.noteSign(flow.account, now);
+    }
+    const std::uint32_t end = packet.sequence + packet.length;
+    if (packet.length > 0 && distance(flow.sentEnd, end) > 0) {
+        flow.sentEnd = end;
+        flow.requestAt = now;
+        if (!flow.isBusy) {
+            m_flows.setBusy(flow, true);
+            m_ledger.noteRequest(flow.account, now);
+        }
+    }
+    if (packet.isReset) {
+        m_flows.erase(packet.key);
+    } else if (packet.isClosing && flow.phase == FlowPhase::Open) {
+        m_flows.setBusy(flow, false);
+        m_flows.setPhase(flow, FlowPhase::Closing);
+    }
+}
+
+void FlowRouter::tick(Milliseconds now)
+{
+    if (now < m_nextTick) {
+        return;
+    }
+    m_nextTick = now + TickInterval;
+    m_ledger.tick(now);
+    FlowTable::Times times;
+    if (m_view->isUsable() && m_view->routes().idleTimeout > 0_ms) {
+        times.idle = m_view->routes().idleTimeout;
+    }
+    m_flows.tick(times, now);
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/flow/flowrouter.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "base/random.h"
+#include "core/flow/flowdecision.h"
+#include "core/flow/flowtable.h"
+#include "core/flow/placement.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace damaskhall {
+
+/// What the router needs from outside. All hooks must be set.
+struct FlowHooks
+{
+    RandomSource random;
+    /// Called for each decision, with the flow's age and the time that its upstream has been
+    /// silent; must be quick.
+    std::function<void(const FlowPacket &, const FlowDecision &, Milliseconds now)> report;
+    /// Called with the time from a request to the client's acknowledgment of its answer.
+    std::function<void(const FlowPacket &, UpstreamKey, Milliseconds duration)> reportAnswer;
+};
+
+/// Decides what happens to each packet of a client: a chain of filters, the first that decides
+/// wins. Deterministic; holds no clock, thread or socket. Thread safety: none.
+class FlowRouter
+{
+public:
+    /// Precondition: all hooks are set.
+    FlowRouter(DataCentreId dataCentre, FlowHooks hooks);
+
+    /// Takes a new view. Precondition: @p view is not null.
+    void handleView(std::shared_ptr<const FlowView> view);
+    FlowDecision handlePacket(const FlowPacket &packet, Milliseconds now);
+    void tick(Milliseconds now);
+
+    const FlowView &view() const { return *m_view; }
+    const UpstreamLedger &ledger() const { return m_ledger; }
+    std::size_t flowCount() const { return m_flows.size(); }
+
+private:
+    struct Context
+    {
+        const FlowPacket &packet;
+        Milliseconds now;
+        const Route *route = nullptr;
+        Flow *flow = nullptr;
+    };
+
+    using Filter = std::optional<FlowDecision> (FlowRouter::*)(Context &);
+
+    std::optional<FlowDecision> filterNotStarted(Context &context);
+    std::optional<FlowDecision> filterRoute(Context &context);
+    std::optional<FlowDecision> filterOpening(Context &context);
+    std::optional<FlowDecision> filterKnownFlow(Context &context);
+    std::optional<FlowDecision> filterCookie(Context &context);
+
+    FlowDecision place(Context &context, std::optional<UpstreamKey> avoided, FlowReason reason);
+    FlowDecision forward(const Context &context, const UpstreamRecord &record,
+                         FlowReason reason) const;
+    std::optional<FlowDecision> filterLostUpstream(const Context &context,
+                                                   const UpstreamRecord *record) const;
+    void observe(Context &context);
+
+    DataCentreId m_dataCentre;
+    FlowHooks m_hooks;
+    std::shared_ptr<const FlowView> m_view = std::make_shared<const FlowView>();
+    UpstreamLedger m_ledger;
+    FlowTable m_flows;
+    Placement m_placement;
+    Milliseconds m_nextTick;
+};
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/flow/flowtable.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/flow/upstreamledger.h"
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+
+namespace damaskhall {
+
+enum class FlowPhase : std::uint8_t {
+    /// Only opening packets were seen.
+    Opening,
+    Open,
+    /// The client closed it.
+    Closing,
+};
+
+/// A flow that this balancer forwards. Losing it costs no more than load knowledge: the cookie in
+/// the client's packets names the upstream.
+struct Flow
+{
+    UpstreamKey upstream;
+    AccountId account;
+    FlowPhase phase = FlowPhase::Opening;
+    bool isBusy = false;
+    Milliseconds openedAt;
+    Milliseconds lastSeen;
+    /// Last time that an opening packet was forwarded.
+    Milliseconds lastOpeningAt;
+    Milliseconds requestAt;
+    /// Sequence number after the last byte of the client.
+    std::uint32_t sentEnd = 0;
+    /// Last acknowledgment of the client.
+    std::uint32_t acknowledged = 0;
+};
+
+/// Flows of one traffic thread. Keeps the ledger's flow counts true. Thread safety: none.
+class FlowTable
+{
+public:
+    /// Times after which a flow is forgotten.
+    struct Times
+    {
+        Milliseconds idle = 60_s;
+        /// Unanswered opening packets: clients give up before.
+        Milliseconds opening = 2_s;
+        /// Last acknowledgments of a closed flow still arrive.
+        Milliseconds closing = 3_s;
+    };
+
+    /// Precondition: @p ledger outlives this.
+    explicit FlowTable(UpstreamLedger &ledger);
+    ~FlowTable();
+    FlowTable(const FlowTable &) = delete;
+    FlowTable &operator=(const FlowTable &) = delete;
+
+    /// Returns the flow, or null. The pointer lives until the next insert, erase or tick.
+    Flow *find(const FlowKey &key);
+    /// Adds a flow. Precondition: there is none with that key.
+    Flow &insert(const FlowKey &key, UpstreamKey upstream, FlowPhase phase, Milliseconds now);
+    void erase(const FlowKey &key);
+
+    void setPhase(Flow &flow, FlowPhase phase);
+    void setBusy(Flow &flow, bool isBusy);
+    /// Moves a flow to another upstream.
+    void move(Flow &flow, UpstreamKey upstream);
+
+    /// Forgets flows that ended.
+    void tick(const Times &times, Milliseconds now);
+
+    std::size_t size() const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_d;
+};
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/flow/flowview.cpp
@@ -0,0 +1,92 @@
+#include "core/flow/flowview.h"
+
+#include <algorithm>
+#include <array>
+#include <xxhash.h>
+
+namespace damaskhall {
+
+namespace {
+
+/// Stands for a computed cookie of zero, which would mean "none".
+constexpr std::uint32_t ZeroSubstitute = 0x5eed5eed;
+
+std::uint32_t upstreamPart(UpstreamKey upstream)
+{
+    const std::array<std::uint64_t, 2> words = {upstream.id.value, upstream.born.value};
+    return XXH32(words.data(), sizeof(words), 0);
+}
+
+std::uint32_t routePart(Endpoint route)
+{
+    const std::uint64_t word = std::uint64_t{route.address} << 16 | route.port;
+    return XXH32(&word, sizeof(word), 1);
+}
+
+} // namespace
+
+FlowCookie flowCookie(UpstreamKey upstream, Endpoint route)
+{
+    const std::uint32_t cookie = upstreamPart(upstream) ^ routePart(route);
+    return {cookie == 0 ? ZeroSubstitute : cookie};
+}
+
+FlowView::FlowView(std::shared_ptr<const RouteTable> routes, std::vector<UpstreamRecord> records,
+                   bool isCurrent)
+    : m_routes(std::move(routes))
+    , m_records(std::move(records))
+    , m_isCurrent(isCurrent)
+{
+    m_cookies.reserve(m_records.size());
+    for (std::uint32_t i = 0; i < m_records.size(); ++i) {
+        const UpstreamRecord &record = m_records[i];
+        m_cookies.push_back({upstreamPart(record.entry.key), i});
+        if (record.standing == UpstreamStanding::Ready ||
+            record.standing == UpstreamStanding::Unconfirmed) {
+            m_candidates[record.entry.service].push_back(i);
+        }
+    }
+    std::sort(m_cookies.begin(), m_cookies.end(),
+              [](const CookieIndex &a, const CookieIndex &b) { return a.base < b.base; });
+}
+
+const UpstreamRecord *FlowView::find(UpstreamKey key) const
+{
+    const auto found = std::lower_bound(m_records.begin(), m_records.end(), key,
+                                        [](const UpstreamRecord &record, UpstreamKey wanted) {
+                                            return record.entry.key < wanted;
+                                        });
+    return found != m_records.end() && found->entry.key == key ? &*found : nullptr;
+}
+
+const UpstreamRecord *FlowView::findByCookie(FlowCookie cookie, Endpoint route) const
+{
+    const std::uint32_t sealed = cookie.value == ZeroSubstitute ? 0 : cookie.value;
+    for (const std::uint32_t value : {cookie.value, sealed}) {
+        const std::uint32_t base = value ^ routePart(route);
+        auto found = std::lower_bound(
+                m_cookies.begin(), m_cookies.end(), base,
+                [](const CookieIndex &index, std::uint32_t wanted) { return index.base < wanted; });
+        const UpstreamRecord *match = nullptr;
+        for (; found != m_cookies.end() && found->base == base; ++found) {
+            const UpstreamRecord &record = m_records[found->record];
+            const Route *declared = m_routes->find(route);
+            if (!match || (declared && leadsTo(*declared, record.entry.service))) {
+                match = &record;
+            }
+        }
+        if (match) {
+            return match;
+        }
+    }
+    return nullptr;
+}
+
+const std::vector<std::uint32_t> &FlowView::candidates(ServiceId service) const
+{
+    static const std::vector<std::uint32_t> None;
+    const auto found = m_candidates.find(service);
+    return found == m_candidates.end() ? None : found->second;
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/flow/placement.cpp
@@ -0,0 +1,115 @@
+#include "core/flow/placement.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace damaskhall {
+
+namespace {
+
+/// Longest usual time from an opening packet to the client's acknowledgment: a few round trips
+/// between data centres.
+constexpr Milliseconds OpeningPatience = 60_ms;
+/// Pause before a silent upstream gets a flow again; doubles with each unanswered try.
+constexpr Milliseconds RetryPause = 500_ms;
+constexpr std::uint32_t MaxRetryDoublings = 3;
+/// How much slower an upstream works while it warms up, as far as nothing better is known.
+constexpr double WarmupFactor = 1.6;
+/// An upstream this many times slower than the mean counts as slow; below it, it is spread of work.
+constexpr double SlowRatio = 2.0;
+/// Bound of the slowness factor, so that a single very late answer does not exclude for long.
+constexpr double MaxSlowFactor = 12.0;
+/// Age after which an answer time says nothing any more: long flows keep it younger.
+constexpr Milliseconds SampleLifetime = 3_s;
+/// Work per slot that an upstream of another data centre must have less than one of the own.
+constexpr double RemotePenalty = 1.0;
+/// Share of the cost that is random, so that balancers with the same view choose differently.
+constexpr double JitterShare = 0.15;
+
+/// Order in which upstreams are considered; a lower class wins whatever the load.
+enum class Suitability : std::uint8_t {
+    Good,
+    /// Its entry lapsed while the platform was away.
+    Unconfirmed,
+    /// It left opening packets unanswered.
+    Silent,
+    /// The caller asks for another one.
+    Avoided,
+};
+
+bool isRetryDue(const UpstreamAccount &account, Milliseconds now)
+{
+    const std::uint32_t doublings = std::min(account.failedTries, MaxRetryDoublings);
+    return now - account.lastOpeningAt >= RetryPause * (1 << doublings);
+}
+
+} // namespace
+
+Placement::Placement(DataCentreId dataCentre)
+    : m_dataCentre(dataCentre)
+{
+}
+
+bool Placement::isSilent(const UpstreamAccount &account, Milliseconds now)
+{
+    return account.silentSince && now - *account.silentSince > OpeningPatience;
+}
+
+double Placement::cost(const UpstreamRecord &record, const UpstreamLedger &ledger,
+                       Milliseconds now) const
+{
+    const UpstreamAccount *account = ledger.find(record.entry.key);
+    if (!account) {
+        return 0;
+    }
+    const double load =
+            account->busyFlows + account->openingFlows + account->openFlows * ledger.busyPerFlow();
+    double factor = 1.0;
+    const double mean = ledger.meanAnswerTime();
+    if (mean > 0 && account->answerTime > 0 && now - account->sampledAt < SampleLifetime) {
+        factor = account->answerTime / mean;
+    }
+    if (mean > 0 && account->stalledSince) {
+        const auto stalled = static_cast<double>((now - *account->stalledSince).value);
+        factor = std::max(factor, stalled / mean);
+    }
+    factor = factor < SlowRatio ? 1.0 : std::min(factor, MaxSlowFactor);
+    if (now < record.warmUntil) {
+        factor = std::max(factor, WarmupFactor);
+    }
+    return (load + 0.5) * factor / record.entry.slots;
+}
+
+const UpstreamRecord *Placement::choose(const FlowView &view, const UpstreamLedger &ledger,
+                                        ServiceId service, std::optional<UpstreamKey> avoided,
+                                        Milliseconds now, const RandomSource &random) const
+{
+    const UpstreamRecord *best = nullptr;
+    Suitability bestClass = Suitability::Avoided;
+    double bestCost = std::numeric_limits<double>::max();
+    for (const std::uint32_t index : view.candidates(service)) {
+        const UpstreamRecord &record = view.upstreams()[index];
+        const UpstreamAccount *account = ledger.find(record.entry.key);
+        Suitability suitability = Suitability::Good;
+        if (avoided == record.entry.key) {
+            suitability = Suitability::Avoided;
+        } else if (account && isSilent(*account, now) && !isRetryDue(*account, now)) {
+            suitability = Suitability::Silent;
+        } else if (record.standing == UpstreamStanding::Unconfirmed) {
+            suitability = Suitability::Unconfirmed;
+        }
+        double price = cost(record, ledger, now);
+        if (record.entry.dataCentre != m_dataCentre) {
+            price += RemotePenalty;
+        }
+        price *= 1.0 + JitterShare * randomUnit(random);
+        if (!best || suitability < bestClass || (suitability == bestClass && price < bestCost)) {
+            best = &record;
+            bestClass = suitability;
+            bestCost = price;
+        }
+    }
+    return best;
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/flow/routetable.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/ids.h"
+#include "base/milliseconds.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace damaskhall {
+
+enum class RouteKind : std::uint8_t {
+    Idempotent,
+    NonIdempotent,
+    Upload,
+};
+
+/// Share of a route's new flows that a service gets, relative to the other shares.
+struct ServiceShare
+{
+    ServiceId service;
+    std::uint32_t weight = 0;
+};
+
+/// One public address and what is carried on it.
+struct Route
+{
+    std::string name;
+    /// Not empty; weights are above zero.
+    std::vector<ServiceShare> shares;
+    RouteKind kind = RouteKind::Idempotent;
+    /// Time within which an answer counts as good.
+    Milliseconds target;
+    Milliseconds timeout;
+};
+
+/// Desired state that operators declared: applied whole, by ascending revision.
+/// Thread safety: immutable once shared.
+struct RouteTable
+{
+    Revision revision;
+    std::unordered_map<Endpoint, Route> routes;
+    /// Names of services, for logs and metrics.
+    std::unordered_map<ServiceId, std::string> serviceNames;
+    /// Flows without packets for this long may be forgotten.
+    Milliseconds idleTimeout;
+
+    /// Returns the route, or null.
+    const Route *find(Endpoint address) const;
+    /// Returns the name of a service, or "unknown".
+    std::string serviceName(ServiceId service) const;
+};
+
+/// Returns the service for a new flow: one of the route's shares, by weight.
+/// Preconditions: @p route has a share; @p random is uniformly distributed.
+/// Thread safety: reentrant.
+ServiceId chooseService(const Route &route, std::uint64_t random);
+
+/// Returns true if the route sends new flows to @p service. Thread safety: reentrant.
+bool leadsTo(const Route &route, ServiceId service);
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/flow/upstreamdirectory.cpp
@@ -0,0 +1,186 @@
+#include "core/flow/upstreamdirectory.h"
+
+#include <algorithm>
+
+namespace damaskhall {
+
+UpstreamDirectory::UpstreamDirectory(DirectoryTimes times)
+    : m_times(times)
+{
+}
+
+bool UpstreamDirectory::advance(UpstreamId id, Revision revision)
+{
+    Slot &slot = m_slots[id];
+    if (revision <= slot.revision) {
+        return false;
+    }
+    slot.revision = revision;
+    m_revision = std::max(m_revision, revision);
+    return true;
+}
+
+void UpstreamDirectory::handleEntry(const UpstreamEntry &entry, Revision revision, Milliseconds now)
+{
+    if (!advance(entry.key.id, revision)) {
+        return;
+    }
+    // The start before under this id, and whoever had the address, have ended.
+    Slot &slot = m_slots[entry.key.id];
+    if (slot.last && *slot.last != entry.key) {
+        replace(*slot.last, now);
+    }
+    UpstreamKey &holder = m_holders.try_emplace(entry.endpoint, entry.key).first->second;
+    if (holder != entry.key) {
+        replace(holder, now);
+        holder = entry.key;
+    }
+    slot.last = entry.key;
+    slot.isPresent = true;
+
+    const auto [found, isNew] = m_records.try_emplace(entry.key);
+    UpstreamRecord &view = found->second.view;
+    UpstreamRecord next{entry, UpstreamStanding::Ready, now + entry.warmupLeft};
+    // The record keeps the end of the warm-up instead, which does not change with each heartbeat.
+    next.entry.warmupLeft = 0_ms;
+    if (!isNew) {
+        next.warmUntil = view.warmUntil;
+        // A start that announced its leaving never takes that back.
+        next.entry.isLeaving = entry.isLeaving || view.entry.isLeaving;
+    }
+    if (next.entry.isLeaving) {
+        next.standing = UpstreamStanding::Leaving;
+    }
+    if (isNew || next != view) {
+        view = next;
+        ++m_version;
+    }
+}
+
+void UpstreamDirectory::replace(UpstreamKey key, Milliseconds now)
+{
+    const auto found = m_records.find(key);
+    if (found != m_records.end() && found->second.view.standing != UpstreamStanding::Replaced) {
+        found->second.missingSince = now;
+        setStanding(found->second, UpstreamStanding::Replaced);
+    }
+}
+
+void UpstreamDirectory::handleRemoval(UpstreamId id, Revision revision, Milliseconds now)
+{
+    if (!advance(id, revision)) {
+        return;
+    }
+    Slot &slot = m_slots[id];
+    if (slot.isPresent) {
+        slot.isPresent = false;
+        lose(*slot.last, now);
+    }
+}
+
+void UpstreamDirectory::handleListEnd(std::vector<UpstreamId> listed, Revision revision,
+                                      Milliseconds now)
+{
+    std::sort(listed.begin(), listed.end());
+    for (auto &[id, slot] : m_slots) {
+        const bool isListed = std::binary_search(listed.begin(), listed.end(), id);
+        if (slot.isPresent && slot.revision <= revision && !isListed) {
+            slot.revision = revision;
+            slot.isPresent = false;
+            lose(*slot.last, now);
+        }
+    }
+    m_revision = std::max(m_revision, revision);
+    if (!m_isComplete) {
+        m_isComplete = true;
+        ++m_version;
+    }
+}
+
+void UpstreamDirectory::lose(UpstreamKey key, Milliseconds now)
+{
+    Record &record = m_records.at(key);
+    if (record.view.standing == UpstreamStanding::Replaced) {
+        return;
+    }
+    record.missingSince = now;
+    const bool isLapse = record.view.standing == UpstreamStanding::Ready;
+    setStanding(record, isLapse && isStoreDoubtful(now) ? UpstreamStanding::Unconfirmed
+                                                        : UpstreamStanding::Gone);
+}
+
+void UpstreamDirectory::setStanding(Record &record, UpstreamStanding standing)
+{
+    if (record.view.standing != standing) {
+        record.view.standing = standing;
+        ++m_version;
+    }
+}
+
+bool UpstreamDirectory::isStoreDoubtful(Milliseconds now) const
+{
+    return m_isStoreAway || (m_regainedAt && now - *m_regainedAt < m_times.confirmation);
+}
+
+void UpstreamDirectory::handleStoreLost(Milliseconds)
+{
+    m_isStoreAway = true;
+}
+
+void UpstreamDirectory::handleStoreRegained(Milliseconds now)
+{
+    if (m_isStoreAway) {
+        m_isStoreAway = false;
+        m_regainedAt = now;
+    }
+}
+
+void UpstreamDirectory::tick(Milliseconds now)
+{
+    const bool isDoubtful = isStoreDoubtful(now);
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        Record &record = it->second;
+        if (record.view.standing == UpstreamStanding::Unconfirmed && !isDoubtful) {
+            setStanding(record, UpstreamStanding::Gone);
+        }
+        const bool isOver = record.view.standing == UpstreamStanding::Gone ||
+                            record.view.standing == UpstreamStanding::Replaced;
+        if (isOver && now - record.missingSince >= m_times.flowLifetime) {
+            ++m_version;
+            forget(it->first);
+            it = m_records.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+void UpstreamDirectory::forget(UpstreamKey key)
+{
+    const auto slot = m_slots.find(key.id);
+    if (slot != m_slots.end() && slot->second.last == key) {
+        m_slots.erase(slot);
+    }
+    const auto holder = m_holders.find(m_records.at(key).view.entry.endpoint);
+    if (holder != m_holders.end() && holder->second == key) {
+        m_holders.erase(holder);
+    }
+}
+
+std::optional<UpstreamKey> UpstreamDirectory::present(UpstreamId id) const
+{
+    const auto found = m_slots.find(id);
+    return found != m_slots.end() && found->second.isPresent ? found->second.last : std::nullopt;
+}
+
+std::vector<UpstreamRecord> UpstreamDirectory::records() const
+{
+    std::vector<UpstreamRecord> records;
+    records.reserve(m_records.size());
+    for (const auto &[key, record] : m_records) {
+        records.push_back(record.view);
+    }
+    return records;
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/flow/upstreamledger.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/flow/flowview.h"
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace damaskhall {
+
+/// Index of a ledger account; stable while the upstream is in the view or holds flows.
+using AccountId = StrongId<struct AccountTag, std::uint32_t>;
+
+/// What one traffic thread has seen of one upstream, from the clients' half of its flows.
+struct UpstreamAccount
+{
+    UpstreamKey key;
+    /// Flows that were opened and not closed.
+    std::uint32_t openFlows = 0;
+    /// Flows with a request that has no answer yet.
+    std::uint32_t busyFlows = 0;
+    /// Flows whose opening packet has no answer yet.
+    std::uint32_t openingFlows = 0;
+    /// Time of the first opening packet since which the upstream gave no sign of life.
+    std::optional<Milliseconds> silentSince;
+    Milliseconds lastOpeningAt;
+    /// Opening packets since the upstream fell silent.
+    std::uint32_t failedTries = 0;
+    /// Last packet of a client that proves an answer.
+    Milliseconds lastSign;
+    /// Since when a request waits without any sign of life.
+    std::optional<Milliseconds> stalledSince;
+    /// Smoothed time from request to answer in milliseconds; zero: no sample yet.
+    double answerTime = 0;
+    Milliseconds sampledAt;
+};
+
+/// Accounts of all upstreams as one traffic thread sees them. Thread safety: none.
+class UpstreamLedger
+{
+public:
+    /// Opens accounts for new upstreams and closes those of upstreams that left the view and hold
+    /// no flow.
+    void handleView(const FlowView &view);
+
+    /// Returns the account, opening it if needed.
+    AccountId open(UpstreamKey key);
+    UpstreamAccount &at(AccountId id) { return m_accounts[id.value]; }
+    const UpstreamAccount &at(AccountId id) const { return m_accounts[id.value]; }
+    /// Returns the account, or null.
+    const UpstreamAccount *find(UpstreamKey key) const;
+
+    /// Notes that an opening packet went to the upstream.
+    void noteOpening(AccountId id, Milliseconds now);
+    /// Notes that a request went to the upstream.
+    void noteRequest(AccountId id, Milliseconds now);
+    /// Notes that a client's packet proved an answer of the upstream.
+    void noteSign(AccountId id, Milliseconds now);
+    /// Notes the time from a request to its answer.
+    void noteAnswer(AccountId id, Milliseconds duration, Milliseconds now);
+
+    /// Smooths the fleet's averages; call at regular times.
+    void tick(Milliseconds now);
+
+    /// Mean part of a slot that an open flow keeps busy.
+    double busyPerFlow() const { return m_busyPerFlow; }
+    /// Mean time from request to answer over all upstreams in milliseconds; zero: unknown.
+    double meanAnswerTime() const { return m_meanAnswerTime; }
+
+private:
+    std::vector<UpstreamAccount> m_accounts;
+    std::vector<std::uint32_t> m_free;
+    std::unordered_map<UpstreamKey, std::uint32_t> m_index;
+    double m_busyPerFlow = 0;
+    double m_meanAnswerTime = 0;
+};
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/forwarder/forwarderlog.cpp
@@ -0,0 +1,224 @@
+#include "forwarder/forwarderlog.h"
+
+#include "metrics/distribution.h"
+
+#include <array>
+#include <mutex>
+#include <sstream>
+
+namespace damaskhall {
+
+namespace {
+
+/// Lines about single flows per second and reason; the counters stay complete.
+constexpr std::uint32_t MaxFlowLinesPerSecond = 20;
+
+std::string hex(std::uint64_t value)
+{
+    std::ostringstream text;
+    text << std::hex << value;
+    return text.str();
+}
+
+std::string_view toString(UpstreamStanding standing)
+{
+    switch (standing) {
+    case UpstreamStanding::Ready:
+        return "ready";
+    case UpstreamStanding::Unconfirmed:
+        return "unconfirmed";
+    case UpstreamStanding::Leaving:
+        return "leaving";
+    case UpstreamStanding::Gone:
+        return "gone";
+    case UpstreamStanding::Replaced:
+        break;
+    }
+    return "replaced";
+}
+
+bool isRefusal(FlowAction action)
+{
+    return action == FlowAction::Reset || action == FlowAction::Drop;
+}
+
+} // namespace
+
+struct ForwarderLog::Private
+{
+    /// Bounds the lines of one reason.
+    struct Allowance
+    {
+        Milliseconds second{-1};
+        std::uint32_t lines = 0;
+        std::uint64_t left = 0;
+    };
+
+    Private(BoundedLog &boundedLog, Clock logClock)
+        : log(boundedLog)
+        , clock(std::move(logClock))
+    {
+    }
+
+    // Returns the number of lines left out before this one, or nothing if this one is left out.
+    std::optional<std::uint64_t> pass(FlowReason reason, Milliseconds now)
+    {
+        Allowance &allowance = allowances.at(static_cast<std::size_t>(reason));
+        if (now - allowance.second >= 1_s || allowance.second < 0_ms) {
+            allowance.second = now;
+            allowance.lines = 0;
+        }
+        if (allowance.lines >= MaxFlowLinesPerSecond) {
+            ++allowance.left;
+            return std::nullopt;
+        }
+        ++allowance.lines;
+        return std::exchange(allowance.left, 0);
+    }
+
+    void reportPacket(const FlowPacket &packet, const FlowDecision &decision, Milliseconds now)
+    {
+        // Packets of known flows are counted only.
+        if (decision.reason == FlowReason::Established || decision.action == FlowAction::Hold) {
+            return;
+        }
+        const auto left = pass(decision.reason, now);
+        if (!left) {
+            return;
+        }
+        const LogLevel level = isRefusal(decision.action) ? LogLevel::Warn : LogLevel::Info;
+        log.log(level, "flow", toString(decision.action),
+                {{"reason", std::string(toString(decision.reason))},
+                 {"client", toString(packet.key.client)},
+                 {"route", toString(packet.key.route)},
+                 {"copy", std::to_string(packet.copy)},
+                 {"upstream", hex(decision.upstream.id.value)},
+                 {"cookie", hex(packet.cookie.value)},
+                 {"left_out", std::to_string(*left)}});
+    }
+
+    void reportAnswer(Milliseconds duration)
+    {
+        const std::lock_guard lock(mutex);
+        answers.add(duration, clock.now());
+    }
+
+    BoundedLog &log;
+    Clock clock;
+    std::array<Allowance, FlowReasonCount> allowances{};
+    mutable std::mutex mutex;
+    Distribution answers;
+    std::uint64_t mistakes = 0;
+    std::uint64_t storeLosses = 0;
+};
+
+ForwarderLog::ForwarderLog(BoundedLog &log, Clock clock)
+    : m_d(std::make_unique<Private>(log, std::move(clock)))
+{
+}
+
+ForwarderLog::~ForwarderLog() = default;
+
+FlowHooks ForwarderLog::flowHooks(RandomSource random)
+{
+    return {std::move(random),
+            [d = m_d.get()](const FlowPacket &packet, const FlowDecision &decision,
+                            Milliseconds now) { d->reportPacket(packet, decision, now); },
+            [d = m_d.get()](const FlowPacket &, UpstreamKey, Milliseconds duration) {
+                d->reportAnswer(duration);
+            }};
+}
+
+FlowControlHooks ForwarderLog::controlHooks(RandomSource random)
+{
+    FlowControlHooks hooks;
+    hooks.random = std::move(random);
+    hooks.reportUpstream = [d = m_d.get()](const UpstreamRecord &record, Revision revision) {
+        d->log.log(LogLevel::Info, "upstreams", "An upstream changed.",
+                   {{"upstream", hex(record.entry.key.id.value)},
+                    {"standing", std::string(toString(record.standing))},
+                    {"address", toString(record.entry.endpoint)},
+                    {"born", std::to_string(record.entry.key.born.value)},
+                    {"store_revision", std::to_string(revision.value)}});
+    };
+    hooks.reportDeclaration = [d = m_d.get()](const RouteTable &table) {
+        d->log.log(LogLevel::Info, "config", "A declaration is in force.",
+                   {{"version", std::to_string(table.revision.value)},
+                    {"routes", std::to_string(table.routes.size())}});
+    };
+    hooks.reportMistake = [d = m_d.get()](const std::string &mistake, Revision revision) {
+        ++d->mistakes;
+        d->log.log(LogLevel::Warn, "store", "An item cannot be used.",
+                   {{"mistake", mistake}, {"store_revision", std::to_string(revision.value)}});
+    };
+    hooks.reportStore = [d = m_d.get()](bool isAway, const std::string &detail) {
+        d->storeLosses += isAway ? 1 : 0;
+        d->log.log(isAway ? LogLevel::Warn : LogLevel::Info, "store",
+                   isAway ? "The store was lost." : "The store is back.", {{"detail", detail}});
+    };
+    return hooks;
+}
+
+void ForwarderLog::reportStart(const ForwarderSettings &settings)
+{
+    m_d->log.log(LogLevel::Info, "process", "Started.",
+                 {{"name", settings.name},
+                  {"version", DAMASKHALL_VERSION},
+                  {"data_centre", settings.dataCentre},
+                  {"listen", toString(settings.listen)}});
+}
+
+void ForwarderLog::reportStop(std::string_view sentence, const ForwarderSettings &settings)
+{
+    m_d->log.log(LogLevel::Info, "process", sentence, {{"name", settings.name}});
+}
+
+void ForwarderLog::reportReload(const ForwarderSettings &before, const ForwarderSettings &after)
+{
+    m_d->log.log(LogLevel::Info, "process", "The settings were read again.",
+                 {{"log_level_before", before.logLevel}, {"log_level", after.logLevel}});
+}
+
+void ForwarderLog::reportReloadFailure(const Error &error)
+{
+    m_d->log.log(LogLevel::Error, "process", "The changed settings are wrong; the old ones stay.",
+                 {{"mistakes", toString(error)}});
+}
+
+std::string ForwarderLog::metrics(const FlowController &controller, const FlowCounts &counts,
+                                  std::uint64_t lostLines) const
+{
+    std::ostringstream text;
+    for (int i = 0; i < FlowReasonCount; ++i) {
+        const auto reason = static_cast<FlowReason>(i);
+        text << "damaskhall_flow_packets_total{reason=\"" << toString(reason) << "\"} "
+             << counts.byReason.at(static_cast<std::size_t>(i)) << "\n";
+    }
+    text << "damaskhall_flow_packets_not_held_total " << counts.heldTooMany << "\n"
+         << "damaskhall_flows " << counts.flows << "\n"
+         << "damaskhall_declaration_version " << controller.revision().value << "\n"
+         << "damaskhall_store_away " << (controller.isStoreAway() ? 1 : 0) << "\n"
+         << "damaskhall_store_losses_total " << m_d->storeLosses << "\n"
+         << "damaskhall_store_mistakes_total " << m_d->mistakes << "\n"
+         << "damaskhall_log_lines_lost_total " << lostLines << "\n";
+    std::array<int, 5> standings{};
+    for (const UpstreamRecord &record : controller.directory().records()) {
+        ++standings.at(static_cast<std::size_t>(record.standing));
+    }
+    for (int i = 0; i < static_cast<int>(standings.size()); ++i) {
+        text << "damaskhall_upstreams{standing=\"" << toString(static_cast<UpstreamStanding>(i))
+             << "\"} " << standings.at(static_cast<std::size_t>(i)) << "\n";
+    }
+    const std::lock_guard lock(m_d->mutex);
+    text << "damaskhall_answer_milliseconds_count " << m_d->answers.count() << "\n"
+         << "damaskhall_answer_milliseconds_sum " << m_d->answers.sum().value << "\n";
+    if (const auto quantiles = m_d->answers.quantiles(m_d->clock.now())) {
+        for (std::size_t i = 0; i < quantiles->size(); ++i) {
+            text << "damaskhall_answer_milliseconds{quantile=\"" << DistributionQuantiles.at(i)
+                 << "\"} " << quantiles->at(i) << "\n";
+        }
+    }
+    return text.str();
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/forwarder/forwarderprocess.cpp
@@ -0,0 +1,208 @@
+#include "forwarder/forwarderprocess.h"
+
+#include "config/configfile.h"
+#include "config/declaration.h"
+#include "config/inidocument.h"
+#include "forwarder/forwarderlog.h"
+#include "io/boundedlog.h"
+#include "io/statusserver.h"
+
+#include <algorithm>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <csignal>
+#include <random>
+#include <unistd.h>
+#include <utility>
+
+namespace damaskhall {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickInterval{100};
+/// Time after which the fabric has noticed that this instance is not ready: two checks half a
+/// second apart, and a packet on its way.
+constexpr Milliseconds LeaveNotice = 1500_ms;
+/// The fabric sends no more packets if none came for this long.
+constexpr Milliseconds QuietTime = 400_ms;
+/// Part of the stop limit that is kept for the end of the process.
+constexpr Milliseconds StopReserve = 1500_ms;
+/// An upstream's leaving passes three stages within the leaving limit: the watch that returns it,
+/// copies of the last opening packet (600 ms), and the packets' way.
+constexpr std::int64_t WatchesPerLeavingLimit = 3;
+
+RandomSource systemRandom()
+{
+    std::random_device device;
+    return seededRandom(std::uint64_t{device()} << 32 | device());
+}
+
+} // namespace
+
+Result<ForwarderSettings> readForwarderSettings(const std::string &file)
+{
+    BOOST_OUTCOME_TRY(text, readFile(file));
+    Diagnostics diagnostics(file);
+    const IniDocument document = IniDocument::scan(text, diagnostics);
+    ForwarderSettings settings = checkForwarderSettings(document, diagnostics);
+    if (!diagnostics.isEmpty()) {
+        return diagnostics.toError(Step::CheckSettings);
+    }
+    return settings;
+}
+
+struct ForwarderProcess::Private
+{
+    Private(std::string file, ForwarderPlatform hooks)
+        : settingsFile(std::move(file))
+        , platform(std::move(hooks))
+        , log(STDOUT_FILENO, LogLevel::Info)
+        , lines(log, clock)
+        , timer(context)
+        , signals(context, SIGTERM, SIGINT, SIGHUP)
+    {
+    }
+
+    Result<void> open()
+    {
+        BOOST_OUTCOME_TRY(read, readForwarderSettings(settingsFile));
+        settings = std::move(read);
+        log.setLevel(parseLogLevel(settings.logLevel));
+        makeController();
+        callStore = platform.openStore(context, settings.store);
+        const FlowWorkerOptions options{settings.listen, {serviceId(settings.dataCentre).value}};
+        worker = std::make_unique<FlowWorker>(options, platform.packets,
+                                              lines.flowHooks(systemRandom()), clock);
+        BOOST_OUTCOME_TRYV(worker->start());
+        status = std::make_unique<StatusServer>(
+                context, StatusHooks{[this] { return isReady(); }, [this] { return metrics(); }});
+        BOOST_OUTCOME_TRYV(status->open(settings.statusListen));
+        lines.reportStart(settings);
+        return success();
+    }
+
+    void makeController()
+    {
+        FlowController::Times times;
+        times.reader.pace =
+                std::min(settings.leavingLimit, settings.declarationLimit) / WatchesPerLeavingLimit;
+        times.reader.wait = times.reader.pace;
+        times.directory.confirmation = settings.confirmation;
+        times.directory.flowLifetime = settings.flowLifetime;
+        controller = std::make_unique<FlowController>(times, lines.controlHooks(systemRandom()));
+    }
+
+    bool isReady() const { return controller->isUsable() && !stopSince; }
+
+    std::string metrics() const
+    {
+        return lines.metrics(*controller, worker->counts(), log.lostLines());
+    }
+
+    void advance()
+    {
+        const Milliseconds now = clock.now();
+        controller->tick(now);
+        if (const auto call = controller->nextCall(now)) {
+            callStore(*call, [this](const StoreReply &reply) {
+                controller->handleReply(reply, clock.now());
+                advance();
+            });
+        }
+        if (auto view = controller->takeView(now)) {
+            worker->publish(std::move(view));
+        }
+    }
+
+    void tick()
+    {
+        advance();
+        log.flush();
+        if (stopSince && isStopDue(clock.now())) {
+            context.stop();
+            return;
+        }
+        timer.expires_after(TickInterval);
+        timer.async_wait([this](const std::error_code &error) {
+            if (!error) {
+                tick();
+            }
+        });
+    }
+
+    bool isStopDue(Milliseconds now) const
+    {
+        const Milliseconds stopping = now - *stopSince;
+        const bool isQuiet = now - worker->lastPacketAt() >= QuietTime;
+        return (stopping >= LeaveNotice && isQuiet) || stopping >= settings.stopLimit - StopReserve;
+    }
+
+    void waitSignal()
+    {
+        signals.async_wait([this](const std::error_code &error, int signal) {
+            if (error) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                reload();
+            } else if (!stopSince) {
+                stopSince = clock.now();
+                lines.reportStop("A stop was requested.", settings);
+            }
+            waitSignal();
+        });
+    }
+
+    // Addresses and limits of a running process stay: the sockets are open, and a changed address
+    // means another instance.
+    void reload()
+    {
+        const Result<ForwarderSettings> read = readForwarderSettings(settingsFile);
+        if (!read) {
+            lines.reportReloadFailure(read.assume_error());
+            return;
+        }
+        lines.reportReload(settings, read.assume_value());
+        settings.logLevel = read.assume_value().logLevel;
+        log.setLevel(parseLogLevel(settings.logLevel));
+    }
+
+    std::string settingsFile;
+    ForwarderPlatform platform;
+    ForwarderSettings settings;
+    Clock clock;
+    BoundedLog log;
+    ForwarderLog lines;
+    asio::io_context context{1};
+    asio::steady_timer timer;
+    asio::signal_set signals;
+    std::unique_ptr<FlowController> controller;
+    StoreCaller callStore;
+    std::unique_ptr<FlowWorker> worker;
+    std::unique_ptr<StatusServer> status;
+    std::optional<Milliseconds> stopSince;
+};
+
+ForwarderProcess::ForwarderProcess(std::string settingsFile, ForwarderPlatform platform)
+    : m_d(std::make_unique<Private>(std::move(settingsFile), std::move(platform)))
+{
+}
+
+ForwarderProcess::~ForwarderProcess() = default;
+
+Result<void> ForwarderProcess::start()
+{
+    return m_d->open();
+}
+
+void ForwarderProcess::serve()
+{
+    m_d->waitSignal();
+    m_d->tick();
+    m_d->context.run();
+    m_d->lines.reportStop("Stopped.", m_d->settings);
+    m_d->worker->stop();
+    m_d->log.flush();
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/io/httpchannel.cpp
@@ -0,0 +1,198 @@
+#include "io/httpchannel.h"
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <http_parser.h>
+#include <utility>
+
+namespace damaskhall {
+
+namespace {
+
+/// Above the largest answer of a platform: pages are bounded at about 1 MB before encoding.
+constexpr std::size_t MaxReplyBytes = std::size_t{16} * 1024 * 1024;
+constexpr std::size_t ReadBufferBytes = 16'384;
+
+} // namespace
+
+struct HttpChannel::Private : std::enable_shared_from_this<HttpChannel::Private>
+{
+    Private(asio::io_context &ioContext, Endpoint endpoint, Step failedStep)
+        : context(ioContext)
+        , server(endpoint)
+        , step(failedStep)
+        , socket(ioContext)
+        , timer(ioContext)
+    {
+        http_parser_settings_init(&settings);
+        settings.on_body = [](http_parser *raw, const char *at, std::size_t length) {
+            auto *self = static_cast<Private *>(raw->data);
+            self->reply.body.append(at, length);
+            return self->reply.body.size() > MaxReplyBytes ? 1 : 0;
+        };
+        settings.on_message_complete = [](http_parser *raw) {
+            static_cast<Private *>(raw->data)->isComplete = true;
+            http_parser_pause(raw, 1);
+            return 0;
+        };
+    }
+
+    void start(const HttpChannelRequest &request, Milliseconds timeout, Handler done)
+    {
+        handler = std::move(done);
+        reply = {};
+        isComplete = false;
+        http_parser_init(&parser, HTTP_RESPONSE);
+        parser.data = this;
+        output = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + toString(server) +
+                 "\r\n";
+        if (!request.body.empty()) {
+            output += "Content-Type: application/json\r\nContent-Length: " +
+                      std::to_string(request.body.size()) + "\r\n";
+        }
+        output += "\r\n" + request.body;
+        const std::uint64_t current = ++attempt;
+        timer.expires_after(std::chrono::milliseconds(timeout.value));
+        timer.async_wait([self = shared_from_this(), current](const std::error_code &error) {
+            if (!error && self->attempt == current && self->handler) {
+                self->fail(ErrorCode::Timeout, "no answer in time");
+            }
+        });
+        if (socket.is_open()) {
+            write(current);
+        } else {
+            connect(current);
+        }
+    }
+
+    void connect(std::uint64_t current)
+    {
+        const asio::ip::tcp::endpoint target(asio::ip::address_v4(server.address), server.port);
+        socket.async_connect(target,
+                             [self = shared_from_this(), current](const std::error_code &error) {
+                                 if (self->attempt != current) {
+                                     return;
+                                 }
+                                 if (error) {
+                                     self->fail(ErrorCode::Unreachable, error.message());
+                                     return;
+                                 }
+                                 std::error_code ignored;
+                                 self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+                                 self->write(current);
+                             });
+    }
+
+    void write(std::uint64_t current)
+    {
+        asio::async_write(
+                socket, asio::buffer(output),
+                [self = shared_from_this(), current](const std::error_code &error, std::size_t) {
+                    if (self->attempt != current) {
+                        return;
+                    }
+                    if (error) {
+                        self->fail(ErrorCode::Unreachable, error.message());
+                        return;
+                    }
+                    self->read(current);
+                });
+    }
+
+    void read(std::uint64_t current)
+    {
+        socket.async_read_some(asio::buffer(buffer),
+                               [self = shared_from_this(), current](const std::error_code &error,
+                                                                    std::size_t length) {
+                                   if (self->attempt != current) {
+                                       return;
+                                   }
+                                   self->parse(error, length, current);
+                               });
+    }
+
+    void parse(const std::error_code &error, std::size_t length, std::uint64_t current)
+    {
+        // A length of zero tells the parser that the connection ended.
+        http_parser_execute(&parser, &settings, buffer.data(), error ? 0 : length);
+        if (isComplete) {
+            finish();
+            return;
+        }
+        if (error) {
+            fail(ErrorCode::Unreachable, error.message());
+            return;
+        }
+        const auto code = static_cast<http_errno>(parser.http_errno);
+        if (code != HPE_OK) {
+            fail(reply.body.size() > MaxReplyBytes ? ErrorCode::Oversized : ErrorCode::Malformed,
+                 http_errno_description(code));
+            return;
+        }
+        read(current);
+    }
+
+    void finish()
+    {
+        reply.status = parser.status_code;
+        http_parser_pause(&parser, 0);
+        if (http_should_keep_alive(&parser) == 0) {
+            close();
+        }
+        ++attempt;
+        timer.cancel();
+        std::exchange(handler, nullptr)(std::move(reply));
+    }
+
+    void fail(ErrorCode code, const std::string &detail)
+    {
+        ++attempt;
+        timer.cancel();
+        close();
+        std::exchange(handler, nullptr)(Error{code, step, toString(server), detail});
+    }
+
+    void close()
+    {
+        std::error_code ignored;
+        socket.close(ignored);
+    }
+
+    asio::io_context &context;
+    Endpoint server;
+    Step step;
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    http_parser_settings settings{};
+    http_parser parser{};
+    Handler handler;
+    HttpChannelReply reply;
+    bool isComplete = false;
+    std::string output;
+    std::array<char, ReadBufferBytes> buffer{};
+    /// Callbacks of earlier requests carry a lower number and are ignored.
+    std::uint64_t attempt = 0;
+};
+
+HttpChannel::HttpChannel(asio::io_context &context, Endpoint server, Step step)
+    : m_d(std::make_shared<Private>(context, server, step))
+{
+}
+
+HttpChannel::~HttpChannel()
+{
+    ++m_d->attempt;
+    m_d->handler = nullptr;
+    m_d->timer.cancel();
+    m_d->close();
+}
+
+void HttpChannel::request(const HttpChannelRequest &request, Milliseconds timeout, Handler handler)
+{
+    m_d->start(request, timeout, std::move(handler));
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/io/httpchannel.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/milliseconds.h"
+#include "base/result.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <asio/io_context.hpp>
+
+namespace damaskhall {
+
+/// Request of an HttpChannel.
+struct HttpChannelRequest
+{
+    /// "GET", "POST" or "DELETE".
+    std::string method = "GET";
+    /// Path and query, sent as they are.
+    std::string target;
+    /// Sent as JSON unless empty.
+    std::string body;
+};
+
+struct HttpChannelReply
+{
+    unsigned status = 0;
+    std::string body;
+};
+
+/// Asynchronous HTTP/1.1 client of one server on one kept connection, one request at a time. A
+/// request that fails or takes too long closes the connection, because a connection that lost an
+/// answer may stay silent for good; the next request opens a new one.
+/// Thread safety: all calls come from the thread that runs the io_context.
+class HttpChannel
+{
+public:
+    using Handler = std::function<void(Result<HttpChannelReply>)>;
+
+    /// Precondition: @p context outlives this.
+    HttpChannel(asio::io_context &context, Endpoint server, Step step);
+    ~HttpChannel();
+    HttpChannel(const HttpChannel &) = delete;
+    HttpChannel &operator=(const HttpChannel &) = delete;
+
+    /// Sends a request and calls @p handler once, later, with the reply or the error: Unreachable,
+    /// Timeout, Oversized (above 16 MiB) or Malformed. Precondition: no request is under way.
+    void request(const HttpChannelRequest &request, Milliseconds timeout, Handler handler);
+
+private:
+    struct Private;
+    std::shared_ptr<Private> m_d;
+};
+
+} // namespace damaskhall
--- a/src/node/udpport.cpp
+++ b/src/io/udpport.cpp
@@ -1,6 +1,6 @@
-#include "node/udpport.h"
+#include "io/udpport.h"
 
-#include "node/systemaddress.h"
+#include "io/systemaddress.h"
 
 #include <algorithm>
 #include <array>
@@ -33,10 +33,11 @@
 struct ReadBatch
 {
     ReadBatch()
-        : bytes(BatchSize * ReadBufferBytes)
+        // Not initialised: a write would make every page cost memory.
+        : bytes(std::make_unique_for_overwrite<char[]>(BatchSize * ReadBufferBytes))
     {
         for (std::size_t i = 0; i < BatchSize; ++i) {
-            parts[i] = {bytes.data() + i * ReadBufferBytes, ReadBufferBytes};
+            parts[i] = {bytes.get() + i * ReadBufferBytes, ReadBufferBytes};
             headers[i].msg_hdr.msg_iov = &parts[i];
             headers[i].msg_hdr.msg_iovlen = 1;
             headers[i].msg_hdr.msg_name = &senders[i];
@@ -56,7 +57,7 @@
         return {static_cast<const char *>(parts[i].iov_base), headers[i].msg_len};
     }
 
-    std::vector<char> bytes;
+    std::unique_ptr<char[]> bytes;
     std::array<iovec, BatchSize> parts{};
     std::array<sockaddr_in, BatchSize> senders{};
     std::array<mmsghdr, BatchSize> headers{};
@@ -75,7 +76,7 @@
     struct Queued
     {
         std::string datagram;
-        sockaddr_in to;
+        sockaddr_in to{};
     };
 
     Private(asio::io_context &context, Receiver callback, std::function<void()> end)
@@ -117,10 +118,10 @@
     void flush()
     {
         std::size_t begin = 0;
-        while (begin < queued.size()) {
-            begin += sendBatch(begin, std::min(queued.size() - begin, BatchSize));
+        while (begin < used) {
+            begin += sendBatch(begin, std::min(used - begin, BatchSize));
         }
-        queued.clear();
+        used = 0;
     }
 
     // Returns the number of datagrams that are dealt with: at least one.
@@ -147,7 +148,9 @@
     asio::ip::udp::socket socket;
     Receiver receiver;
     std::function<void()> batchEnd;
+    /// The first @c used entries wait for flush(); the others keep their buffers.
     std::vector<Queued> queued;
+    std::size_t used = 0;
     bool isConnected = false;
 };
 
@@ -197,7 +200,18 @@
 
 void UdpPort::queue(std::string datagram, Endpoint to)
 {
-    m_d->queued.push_back({std::move(datagram), toSystem(to)});
+    prepare(to) = std::move(datagram);
+}
+
+std::string &UdpPort::prepare(Endpoint to)
+{
+    if (m_d->used == m_d->queued.size()) {
+        m_d->queued.emplace_back();
+    }
+    Private::Queued &entry = m_d->queued[m_d->used++];
+    entry.to = toSystem(to);
+    entry.datagram.clear();
+    return entry.datagram;
 }
 
 void UdpPort::flush()
--- a/src/node/udpport.h
+++ b/src/io/udpport.h
@@ -39,6 +39,9 @@
 
     /// Queues a datagram for flush().
     void queue(std::string datagram, Endpoint to);
+    /// Returns an empty buffer that is sent to @p to with the next flush(). Buffers are used again,
+    /// so that a steady load allocates nothing. The reference lives until the next call.
+    std::string &prepare(Endpoint to);
     /// Sends all queued datagrams with as few system calls as possible.
     void flush();
 
--- a/src/node/controlworker.cpp
+++ b/src/node/controlworker.cpp
@@ -1,8 +1,8 @@
 #include "node/controlworker.h"
 
 #include "core/control/controlplane.h"
+#include "io/udpport.h"
 #include "node/peerlinks.h"
-#include "node/udpport.h"
 #include "wire/controlcodec.h"
 
 #include <asio/executor_work_guard.hpp>
--- a/src/node/trafficworker.cpp
+++ b/src/node/trafficworker.cpp
@@ -1,7 +1,7 @@
 #include "node/trafficworker.h"
 
 #include "core/control/pathcontroller.h"
-#include "node/udpport.h"
+#include "io/udpport.h"
 #include "node/upstreampath.h"
 #include "wire/framecodec.h"
 
--- a/src/node/upstreampath.h
+++ b/src/node/upstreampath.h
@@ -3,8 +3,8 @@
 #include "base/clock.h"
 #include "core/control/pathcontroller.h"
 #include "core/messages.h"
+#include "io/udpport.h"
 #include "node/framestream.h"
-#include "node/udpport.h"
 
 #include <functional>
 #include <memory>
--- a/standins/callerline.h
+++ b/standins/callerline.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
-#include "node/udpport.h"
+#include "io/udpport.h"
 #include "wire/framecodec.h"
 
 #include <memory>
--- a/standins/standin-fabric.cpp
+++ b/standins/standin-fabric.cpp
@@ -3,7 +3,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
-#include "node/udpport.h"
+#include "io/udpport.h"
 #include "platform/platformclient.h"
 #include "wire/framecodec.h"
 
--- a/standins/upstreamport.h
+++ b/standins/upstreamport.h
@@ -3,8 +3,8 @@
 #include "silentpaths.h"
 
 #include "base/clock.h"
+#include "io/udpport.h"
 #include "node/framestream.h"
-#include "node/udpport.h"
 #include "wire/framecodec.h"
 
 #include <functional>
--- a/tests/node/framestream_test.cpp
+++ b/tests/node/framestream_test.cpp
@@ -1,6 +1,6 @@
 #include "node/framestream.h"
 
-#include "node/udpport.h"
+#include "io/udpport.h"
 
 #include "wire/framecodec.h"
 #include "wire/streamframing.h"
--- a/tests/node/peerlinks_test.cpp
+++ b/tests/node/peerlinks_test.cpp
@@ -1,7 +1,7 @@
 #include "node/peerlinks.h"
 
+#include "io/udpport.h"
 #include "node/framestream.h"
-#include "node/udpport.h"
 #include "wire/controlcodec.h"
 
 #include <gtest/gtest.h>
