--- /dev/null
+++ b/fakes/flowfleet.cpp
@@ -0,0 +1,639 @@
+#include "fakes/flowfleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace damaskhall::fakes {
+
+namespace {
+
+constexpr Milliseconds FirstCopy = 200_ms;
+constexpr Milliseconds SecondCopy = 600_ms;
+constexpr Milliseconds OpeningLimit = 1400_ms;
+constexpr Milliseconds FirstRetransmission = 200_ms;
+constexpr Milliseconds MaxRetransmission = 1600_ms;
+constexpr Milliseconds RouterTick = 100_ms;
+constexpr std::uint16_t RequestBytes = 500;
+constexpr std::uint32_t AnswerBytes = 1000;
+/// Users of a long flow ask once a second each.
+constexpr double LongRequestsPerUser = 1.0;
+
+struct Request
+{
+    std::size_t load = 0;
+    int dataCentre = 0;
+    Milliseconds askedAt;
+    int triesLeft = 0;
+    bool isSettled = false;
+};
+
+enum class Answer : std::uint8_t {
+    Ok,
+    NotRun,
+};
+
+} // namespace
+
+struct FlowFleet::Private
+{
+    struct Upstream
+    {
+        UpstreamRecord record;
+        int dataCentre = 0;
+        double factor = 1;
+        Milliseconds coldUntil;
+        double coldFactor = 1;
+        bool isSilent = false;
+        bool isListed = true;
+        int busy = 0;
+        std::deque<std::uint64_t> queue;
+        int arrivals = 0;
+    };
+
+    struct Balancer
+    {
+        int dataCentre = 0;
+        bool isUp = true;
+        std::unique_ptr<FlowRouter> router;
+    };
+
+    /// Client's end of a flow.
+    struct ClientFlow
+    {
+        FlowPacket packet;
+        std::size_t load = 0;
+        int dataCentre = 0;
+        bool isOpen = false;
+        bool isOver = false;
+        /// Sequence number of the request under way; zero: none.
+        std::uint32_t pendingSequence = 0;
+        std::shared_ptr<Request> request;
+        std::optional<std::size_t> upstream;
+        std::uint64_t user = 0;
+    };
+
+    explicit Private(const FlowFleetOptions &fleetOptions)
+        : options(fleetOptions)
+        , random(seededRandom(fleetOptions.seed))
+    {
+        auto table = std::make_shared<RouteTable>();
+        table->revision = {1};
+        table->idleTimeout = 60_s;
+        for (const FlowLoad &load : options.loads) {
+            table->routes[load.route] = {
+                    load.name, {{load.service, 1}}, RouteKind::Idempotent, load.target, load.limit};
+        }
+        routes = table;
+        factors.assign(static_cast<std::size_t>(options.dataCentres), 1.0);
+        for (int dc = 0; dc < options.dataCentres; ++dc) {
+            for (int i = 0; i < options.upstreamsPerDataCentre; ++i) {
+                for (const ServiceId service : services()) {
+                    addUpstream(dc, service);
+                }
+            }
+            for (int i = 0; i < options.balancersPerDataCentre; ++i) {
+                balancers.push_back({dc, true, nullptr});
+                restart(balancers.back());
+            }
+        }
+        startUsers();
+        tick();
+    }
+
+    std::vector<ServiceId> services() const
+    {
+        std::vector<ServiceId> found;
+        for (const FlowLoad &load : options.loads) {
+            if (std::find(found.begin(), found.end(), load.service) == found.end()) {
+                found.push_back(load.service);
+            }
+        }
+        return found;
+    }
+
+    std::size_t addUpstream(int dataCentre, ServiceId service)
+    {
+        Upstream upstream;
+        upstream.dataCentre = dataCentre;
+        UpstreamEntry &entry = upstream.record.entry;
+        entry.key = {UpstreamId{upstreams.size() + 1}, Incarnation{1}};
+        entry.service = service;
+        entry.endpoint = {static_cast<std::uint32_t>(upstreams.size() + 1), 8000};
+        entry.dataCentre.value = static_cast<std::uint32_t>(dataCentre + 1);
+        entry.slots = static_cast<std::uint32_t>(options.slots);
+        upstreams.push_back(upstream);
+        return upstreams.size() - 1;
+    }
+
+    void restart(Balancer &balancer)
+    {
+        FlowHooks hooks;
+        hooks.random = seededRandom(random());
+        hooks.report = [](const FlowPacket &, const FlowDecision &, Milliseconds) {};
+        hooks.reportAnswer = [](const FlowPacket &, UpstreamKey, Milliseconds) {};
+        balancer.router = std::make_unique<FlowRouter>(
+                DataCentreId{static_cast<std::uint32_t>(balancer.dataCentre + 1)},
+                std::move(hooks));
+        balancer.router->handleView(view());
+        balancer.isUp = true;
+    }
+
+    std::shared_ptr<const FlowView> view() const
+    {
+        std::vector<UpstreamRecord> records;
+        for (const Upstream &upstream : upstreams) {
+            if (upstream.isListed) {
+                records.push_back(upstream.record);
+            }
+        }
+        return std::make_shared<const FlowView>(routes, std::move(records), true);
+    }
+
+    void publish()
+    {
+        for (Balancer &balancer : balancers) {
+            if (balancer.isUp) {
+                balancer.router->handleView(view());
+            }
+        }
+    }
+
+    void tick()
+    {
+        for (Balancer &balancer : balancers) {
+            if (balancer.isUp) {
+                balancer.router->tick(events.now());
+                carryOut(balancer, balancer.router->takeReleased(events.now()));
+            }
+        }
+        events.schedule(events.now() + RouterTick, [this] { tick(); });
+    }
+
+    // Users.
+
+    void startUsers()
+    {
+        for (int dc = 0; dc < options.dataCentres; ++dc) {
+            for (std::size_t load = 0; load < options.loads.size(); ++load) {
+                const FlowLoad &kind = options.loads[load];
+                if (kind.isLong) {
+                    const int users = std::max(
+                            1, static_cast<int>(std::lround(kind.perSecond / LongRequestsPerUser)));
+                    for (int user = 0; user < users; ++user) {
+                        thinkLong(dc, load, nextUser++);
+                    }
+                } else {
+                    scheduleArrival(dc, load);
+                }
+            }
+        }
+    }
+
+    Milliseconds exponential(double mean) const
+    {
+        const double value = -mean * std::log(1.0 - randomUnit(random));
+        return {static_cast<std::int64_t>(std::min(value, mean * 8) + 0.5)};
+    }
+
+    void scheduleArrival(int dc, std::size_t load)
+    {
+        const double rate = options.loads[load].perSecond * factors[static_cast<std::size_t>(dc)];
+        events.schedule(events.now() + exponential(1000.0 / rate), [this, dc, load] {
+            ask(dc, load, nextUser++);
+            scheduleArrival(dc, load);
+        });
+    }
+
+    void thinkLong(int dc, std::size_t load, std::uint64_t user)
+    {
+        const double mean = 1000.0 / (LongRequestsPerUser * factors[static_cast<std::size_t>(dc)]);
+        events.schedule(events.now() + exponential(mean), [this, dc, load, user] {
+            ask(dc, load, user);
+            thinkLong(dc, load, user);
+        });
+    }
+
+    void ask(int dc, std::size_t load, std::uint64_t user)
+    {
+        auto request = std::make_shared<Request>();
+        request->load = load;
+        request->dataCentre = dc;
+        request->askedAt = events.now();
+        request->triesLeft = options.loads[load].retries;
+        requests.push_back(request);
+        events.schedule(events.now() + options.loads[load].limit,
+                        [this, request, user] { giveUp(request, user); });
+        tryRequest(request, user);
+    }
+
+    // A user that gives up leaves its flow: the answer may still come on it.
+    void giveUp(const std::shared_ptr<Request> &request, std::uint64_t user)
+    {
+        if (request->isSettled) {
+            return;
+        }
+        request->isSettled = true;
+        const auto held = longFlows.find(user);
+        if (held != longFlows.end() && held->second->request == request) {
+            held->second->isOver = true;
+            longFlows.erase(held);
+        }
+    }
+
+    void tryRequest(const std::shared_ptr<Request> &request, std::uint64_t user)
+    {
+        const bool isLong = options.loads[request->load].isLong;
+        if (const auto held = longFlows.find(user); isLong && held != longFlows.end()) {
+            if (held->second->request && !held->second->request->isSettled) {
+                // The user's earlier request is still under way: a second flow.
+                openFlow(request, user);
+                return;
+            }
+            held->second->request = request;
+            sendRequest(held->second);
+            return;
+        }
+        openFlow(request, user);
+    }
+
+    void openFlow(const std::shared_ptr<Request> &request, std::uint64_t user)
+    {
+        auto flow = std::make_shared<ClientFlow>();
+        flow->load = request->load;
+        flow->dataCentre = request->dataCentre;
+        flow->request = request;
+        flow->user = user;
+        flow->packet.key = {{static_cast<std::uint32_t>(0x64400000 + flows.size() / 60'000),
+                             static_cast<std::uint16_t>(1024 + flows.size() % 60'000)},
+                            options.loads[request->load].route};
+        flows.push_back(flow);
+        flowsByKey[flow->packet.key] = flow;
+        if (options.loads[request->load].isLong) {
+            longFlows[user] = flow;
+        }
+        for (std::uint32_t copy = 0; copy < 3; ++copy) {
+            const Milliseconds after = copy == 0 ? 0_ms : copy == 1 ? FirstCopy : SecondCopy;
+            events.schedule(events.now() + after, [this, flow, copy] {
+                if (!flow->isOpen && !flow->isOver) {
+                    FlowPacket packet = flow->packet;
+                    packet.isOpening = true;
+                    packet.sequence = 1000;
+                    packet.copy = copy;
+                    sendPacket(*flow, packet);
+                }
+            });
+        }
+        events.schedule(events.now() + OpeningLimit, [this, flow] {
+            if (!flow->isOpen && !flow->isOver) {
+                fail(flow, true);
+            }
+        });
+    }
+
+    // Ends the try; the request is tried again if it may be.
+    void fail(const std::shared_ptr<ClientFlow> &flow, bool isNotRun)
+    {
+        flow->isOver = true;
+        if (const auto held = longFlows.find(flow->user);
+            held != longFlows.end() && held->second == flow) {
+            longFlows.erase(held);
+        }
+        const auto request = flow->request;
+        const bool mayRepeat = isNotRun || options.loads[flow->load].isIdempotent;
+        if (request && !request->isSettled && mayRepeat && request->triesLeft > 0) {
+            --request->triesLeft;
+            openFlow(request, flow->user);
+        }
+    }
+
+    void sendRequest(const std::shared_ptr<ClientFlow> &flow)
+    {
+        flow->pendingSequence = flow->packet.sequence;
+        transmit(flow, flow->pendingSequence, FirstRetransmission);
+    }
+
+    void transmit(const std::shared_ptr<ClientFlow> &flow, std::uint32_t sequence,
+                  Milliseconds interval)
+    {
+        if (flow->isOver || flow->pendingSequence != sequence || flow->request->isSettled) {
+            return;
+        }
+        FlowPacket packet = flow->packet;
+        packet.hasAcknowledgment = true;
+        packet.sequence = sequence;
+        packet.length = RequestBytes;
+        sendPacket(*flow, packet);
+        // The upstream's end acknowledges data at once, so only lost packets are repeated.
+        events.schedule(events.now() + interval, [this, flow, sequence, interval] {
+            if (flow->pendingSequence == sequence && !accepted.contains({flow.get(), sequence})) {
+                transmit(flow, sequence, std::min(interval * 2, MaxRetransmission));
+            }
+        });
+    }
+
+    // Network.
+
+    void sendPacket(const ClientFlow &flow, const FlowPacket &packet)
+    {
+        std::vector<Balancer *> rotation;
+        for (Balancer &balancer : balancers) {
+            if (balancer.dataCentre == flow.dataCentre) {
+                rotation.push_back(&balancer);
+            }
+        }
+        Balancer *chosen = rotation[std::hash<FlowKey>()(packet.key) % rotation.size()];
+        events.schedule(events.now() + options.delay, [this, chosen, packet] {
+            if (chosen->isUp) {
+                carryOut(*chosen, packet, chosen->router->handlePacket(packet, events.now()));
+            }
+        });
+    }
+
+    void carryOut(Balancer &balancer, const std::vector<ReleasedPacket> &released)
+    {
+        for (const ReleasedPacket &packet : released) {
+            carryOut(balancer, packet.packet, packet.decision);
+        }
+    }
+
+    void carryOut(Balancer &balancer, const FlowPacket &packet, const FlowDecision &decision)
+    {
+        if (decision.action == FlowAction::Reset) {
+            events.schedule(events.now() + options.delay, [this, packet] {
+                const auto flow = flowsByKey.find(packet.key);
+                if (flow != flowsByKey.end() && !flow->second->isOver) {
+                    fail(flow->second, !flow->second->isOpen);
+                }
+            });
+        }
+        if (decision.action != FlowAction::Forward) {
+            return;
+        }
+        const std::size_t index = decision.endpoint.address - 1;
+        const bool isCross = upstreams[index].dataCentre != balancer.dataCentre;
+        crossed += isCross && packet.isOpening ? 1 : 0;
+        FlowPacket forwarded = packet;
+        forwarded.cookie = decision.cookie;
+        const Milliseconds delay = options.delay + (isCross ? options.crossDelay : 0_ms);
+        events.schedule(events.now() + delay,
+                        [this, index, forwarded] { receive(index, forwarded); });
+        // Packets of a held flow wait in the router; what it released goes out with the next one.
+        carryOut(balancer, balancer.router->takeReleased(events.now()));
+    }
+
+    // Upstreams.
+
+    void receive(std::size_t index, const FlowPacket &packet)
+    {
+        Upstream &upstream = upstreams[index];
+        const auto found = flowsByKey.find(packet.key);
+        if (upstream.isSilent || found == flowsByKey.end() || found->second->isOver) {
+            return;
+        }
+        const auto flow = found->second;
+        if (packet.isOpening) {
+            events.schedule(events.now() + options.delay, [this, flow, index, packet] {
+                acceptOpening(flow, index, packet.cookie);
+            });
+            return;
+        }
+        if (flow->upstream != index || packet.length == 0 ||
+            !accepted.insert({flow.get(), packet.sequence}).second) {
+            return;
+        }
+        ++upstream.arrivals;
+        const std::uint64_t job = jobs.size();
+        jobs.push_back({flow, packet.sequence});
+        if (upstream.busy < options.slots) {
+            run(index, job);
+        } else if (static_cast<int>(upstream.queue.size()) < options.queue) {
+            upstream.queue.push_back(job);
+        } else {
+            ++sheds[events.now().value];
+            answer(job, Answer::NotRun);
+        }
+    }
+
+    void acceptOpening(const std::shared_ptr<ClientFlow> &flow, std::size_t index,
+                       FlowCookie cookie)
+    {
+        if (flow->isOpen || flow->isOver) {
+            return;
+        }
+        flow->isOpen = true;
+        flow->upstream = index;
+        flow->packet.cookie = cookie;
+        flow->packet.sequence = 1001;
+        flow->packet.acknowledgment = 5000;
+        FlowPacket acknowledged = flow->packet;
+        acknowledged.hasAcknowledgment = true;
+        sendPacket(*flow, acknowledged);
+        if (!flow->request->isSettled) {
+            sendRequest(flow);
+        }
+    }
+
+    void run(std::size_t index, std::uint64_t job)
+    {
+        Upstream &upstream = upstreams[index];
+        ++upstream.busy;
+        const double work = static_cast<double>(options.loads[jobs[job].first->load].work.value);
+        // Log-normal, as service times are.
+        const double spread = 0.5;
+        const double normal = std::sqrt(-2 * std::log(1.0 - randomUnit(random))) *
+                              std::cos(6.283185307 * randomUnit(random));
+        double time = work * std::exp(spread * normal - spread * spread / 2) * upstream.factor;
+        if (events.now() < upstream.coldUntil) {
+            time *= upstream.coldFactor;
+        }
+        const auto duration = Milliseconds{static_cast<std::int64_t>(time + 0.5)};
+        events.schedule(events.now() + duration, [this, index, job] {
+            Upstream &done = upstreams[index];
+            --done.busy;
+            if (!done.isSilent) {
+                answer(job, Answer::Ok);
+            }
+            if (!done.queue.empty()) {
+                const std::uint64_t next = done.queue.front();
+                done.queue.pop_front();
+                run(index, next);
+            }
+        });
+    }
+
+    void answer(std::uint64_t job, Answer kind)
+    {
+        const auto flow = jobs[job].first;
+        const std::uint32_t sequence = jobs[job].second;
+        events.schedule(events.now() + options.delay, [this, flow, sequence, kind] {
+            if (flow->isOver || flow->pendingSequence != sequence) {
+                return;
+            }
+            flow->pendingSequence = 0;
+            flow->packet.sequence = sequence + RequestBytes;
+            flow->packet.acknowledgment += AnswerBytes;
+            FlowPacket acknowledged = flow->packet;
+            acknowledged.hasAcknowledgment = true;
+            const bool isLong = options.loads[flow->load].isLong;
+            acknowledged.isClosing = !isLong;
+            sendPacket(*flow, acknowledged);
+            if (kind == Answer::Ok) {
+                settle(*flow->request);
+                flow->isOver = !isLong;
+            } else {
+                fail(flow, true);
+            }
+        });
+    }
+
+    void settle(Request &request)
+    {
+        if (!request.isSettled) {
+            request.isSettled = true;
+            answeredAt[&request] = events.now();
+        }
+    }
+
+    FlowFleetOptions options;
+    RandomSource random;
+    EventQueue events;
+    std::shared_ptr<const RouteTable> routes;
+    std::vector<double> factors;
+    std::deque<Upstream> upstreams;
+    std::deque<Balancer> balancers;
+    std::vector<std::shared_ptr<ClientFlow>> flows;
+    std::map<FlowKey, std::shared_ptr<ClientFlow>> flowsByKey;
+    std::map<std::uint64_t, std::shared_ptr<ClientFlow>> longFlows;
+    std::vector<std::shared_ptr<Request>> requests;
+    std::map<const Request *, Milliseconds> answeredAt;
+    std::set<std::pair<const ClientFlow *, std::uint32_t>> accepted;
+    std::vector<std::pair<std::shared_ptr<ClientFlow>, std::uint32_t>> jobs;
+    std::map<std::int64_t, int> sheds;
+    std::uint64_t nextUser = 1;
+    int crossed = 0;
+};
+
+FlowFleet::FlowFleet(const FlowFleetOptions &options)
+    : m_d(std::make_unique<Private>(options))
+{
+}
+
+FlowFleet::~FlowFleet() = default;
+
+void FlowFleet::runUntil(Milliseconds end)
+{
+    m_d->events.runUntil(end);
+}
+
+Milliseconds FlowFleet::now() const
+{
+    return m_d->events.now();
+}
+
+void FlowFleet::loseAllBalancers(Milliseconds downTime, Milliseconds spread)
+{
+    for (auto &balancer : m_d->balancers) {
+        balancer.isUp = false;
+        const auto extra = randomBelow(m_d->random, static_cast<std::uint64_t>(spread.value) + 1);
+        m_d->events.schedule(now() + downTime + Milliseconds{static_cast<std::int64_t>(extra)},
+                             [this, &balancer] { m_d->restart(balancer); });
+    }
+}
+
+void FlowFleet::slowUpstreams(int perDataCentre, double factor)
+{
+    std::map<std::pair<int, ServiceId>, int> chosen;
+    for (auto &upstream : m_d->upstreams) {
+        if (chosen[{upstream.dataCentre, upstream.record.entry.service}]++ < perDataCentre) {
+            upstream.factor = factor;
+        }
+    }
+}
+
+void FlowFleet::silenceUpstreams(int perDataCentre, Milliseconds noticed)
+{
+    std::map<std::pair<int, ServiceId>, int> chosen;
+    for (auto &upstream : m_d->upstreams) {
+        if (chosen[{upstream.dataCentre, upstream.record.entry.service}]++ < perDataCentre) {
+            upstream.isSilent = true;
+            m_d->events.schedule(now() + noticed, [this, &upstream] {
+                upstream.record.standing = UpstreamStanding::Gone;
+                m_d->publish();
+            });
+        }
+    }
+}
+
+void FlowFleet::scaleLoad(int dataCentre, double factor)
+{
+    m_d->factors[static_cast<std::size_t>(dataCentre)] = factor;
+}
+
+void FlowFleet::replaceUpstreams(int perDataCentre, Milliseconds gap, Milliseconds warmup,
+                                 double coldFactor)
+{
+    std::map<std::pair<int, ServiceId>, int> chosen;
+    const std::size_t count = m_d->upstreams.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        auto &old = m_d->upstreams[i];
+        int &step = chosen[{old.dataCentre, old.record.entry.service}];
+        if (step++ >= perDataCentre) {
+            continue;
+        }
+        m_d->events.schedule(now() + gap * step, [this, &old, warmup, coldFactor] {
+            const std::size_t added = m_d->addUpstream(old.dataCentre, old.record.entry.service);
+            auto &fresh = m_d->upstreams[added];
+            fresh.coldUntil = now() + warmup;
+            fresh.coldFactor = coldFactor;
+            fresh.record.warmUntil = now() + warmup;
+            old.record.standing = UpstreamStanding::Leaving;
+            old.record.entry.isLeaving = true;
+            m_d->publish();
+        });
+    }
+}
+
+FlowOutcome FlowFleet::outcome(const std::string &load, Milliseconds from, Milliseconds until) const
+{
+    FlowOutcome outcome;
+    for (const auto &request : m_d->requests) {
+        const FlowLoad &kind = m_d->options.loads[request->load];
+        if (request->askedAt < from || request->askedAt >= until ||
+            (!load.empty() && kind.name != load)) {
+            continue;
+        }
+        ++outcome.asked;
+        const auto answered = m_d->answeredAt.find(request.get());
+        if (answered == m_d->answeredAt.end()) {
+            ++outcome.failed;
+        } else if (answered->second - request->askedAt <= kind.target) {
+            ++outcome.inTime;
+        } else {
+            ++outcome.late;
+        }
+    }
+    for (const auto &[at, count] : m_d->sheds) {
+        outcome.sheds += at >= from.value && at < until.value ? count : 0;
+    }
+    outcome.crossed = m_d->crossed;
+    return outcome;
+}
+
+double FlowFleet::imbalance() const
+{
+    int most = 0;
+    int sum = 0;
+    int count = 0;
+    for (const auto &upstream : m_d->upstreams) {
+        most = std::max(most, upstream.arrivals);
+        sum += upstream.arrivals;
+        ++count;
+    }
+    return sum == 0 ? 1.0 : static_cast<double>(most) * count / sum;
+}
+
+} // namespace damaskhall::fakes
--- /dev/null
+++ b/fakes/flowfleet.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "core/flow/flowrouter.h"
+#include "fakes/eventqueue.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace damaskhall::fakes {
+
+/// Work of one kind that users ask for.
+struct FlowLoad
+{
+    std::string name;
+    Endpoint route;
+    ServiceId service;
+    /// Requests per second in each data centre.
+    double perSecond = 0;
+    /// True: users keep a flow for many requests. False: a flow for each request.
+    bool isLong = false;
+    Milliseconds work;
+    /// An answer within this time is good.
+    Milliseconds target;
+    /// The user gives up after this time.
+    Milliseconds limit;
+    /// Further tries of a request that did not run.
+    int retries = 2;
+    /// Idempotent work is tried again after any failure.
+    bool isIdempotent = true;
+};
+
+struct FlowFleetOptions
+{
+    std::uint64_t seed = 1;
+    int dataCentres = 3;
+    int balancersPerDataCentre = 2;
+    int upstreamsPerDataCentre = 5;
+    int slots = 2;
+    /// Requests that an upstream queues before it sheds.
+    int queue = 8;
+    std::vector<FlowLoad> loads;
+    /// One way, between parts of one data centre, and more to another one.
+    Milliseconds delay = 1_ms;
+    Milliseconds crossDelay = 1_ms;
+};
+
+/// What became of the requests that were asked in one window of time.
+struct FlowOutcome
+{
+    int asked = 0;
+    int inTime = 0;
+    int late = 0;
+    int failed = 0;
+    int sheds = 0;
+    /// Opening packets that another data centre received.
+    int crossed = 0;
+
+    double shareInTime() const { return asked == 0 ? 1.0 : static_cast<double>(inTime) / asked; }
+};
+
+/// Clients, routers, balancers and upstreams of several data centres in virtual time. Packets,
+/// copies, retransmissions, slots, queues and shedding follow the platform's documents; answers
+/// bypass the balancers. Deterministic for a seed. Thread safety: none.
+class FlowFleet
+{
+public:
+    explicit FlowFleet(const FlowFleetOptions &options);
+    ~FlowFleet();
+    FlowFleet(const FlowFleet &) = delete;
+    FlowFleet &operator=(const FlowFleet &) = delete;
+
+    /// Lets time pass.
+    void runUntil(Milliseconds end);
+    Milliseconds now() const;
+
+    /// Takes all balancers down and brings each back after @p downTime and a random time up to
+    /// @p spread, with nothing but a fresh view.
+    void loseAllBalancers(Milliseconds downTime, Milliseconds spread);
+    /// Makes a share of the upstreams, the first ones of each data centre, slower.
+    void slowUpstreams(int perDataCentre, double factor);
+    /// The first upstreams of each data centre fall silent for good; the directory learns it after
+    /// @p noticed.
+    void silenceUpstreams(int perDataCentre, Milliseconds noticed);
+    /// Multiplies the load of a data centre.
+    void scaleLoad(int dataCentre, double factor);
+    /// Replaces one upstream after the other in each data centre, with cold ones.
+    void replaceUpstreams(int perDataCentre, Milliseconds gap, Milliseconds warmup,
+                          double coldFactor);
+
+    /// Returns the requests asked in [from, until), by the name of their load; "" adds all.
+    FlowOutcome outcome(const std::string &load, Milliseconds from, Milliseconds until) const;
+    /// Returns the highest number of requests at one upstream divided by the mean, over the
+    /// upstreams that were present all the time.
+    double imbalance() const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_d;
+};
+
+} // namespace damaskhall::fakes
--- a/src/core/flow/placement.cpp
+++ b/src/core/flow/placement.cpp
@@ -29,6 +29,8 @@
 /// Order in which upstreams are considered; a lower class wins whatever the load.
 enum class Suitability : std::uint8_t {
     Good,
+    /// It has as much work of this thread as it should.
+    Full,
     /// Its entry lapsed while the platform was away.
     Unconfirmed,
     /// It left opening packets unanswered.
@@ -50,6 +52,11 @@
 {
 }
 
+bool Placement::isFull(const UpstreamAccount &account)
+{
+    return account.inFlight() + 1 > account.limit;
+}
+
 bool Placement::isSilent(const UpstreamAccount &account, Milliseconds now)
 {
     return account.silentSince && now - *account.silentSince > OpeningPatience;
@@ -97,6 +104,8 @@
             suitability = Suitability::Silent;
         } else if (record.standing == UpstreamStanding::Unconfirmed) {
             suitability = Suitability::Unconfirmed;
+        } else if (account && isFull(*account)) {
+            suitability = Suitability::Full;
         }
         double price = cost(record, ledger, now);
         if (record.entry.dataCentre != m_dataCentre) {
--- a/src/core/flow/upstreamledger.cpp
+++ b/src/core/flow/upstreamledger.cpp
@@ -1,5 +1,7 @@
 #include "core/flow/upstreamledger.h"
 
+#include <algorithm>
+
 namespace damaskhall {
 
 namespace {
@@ -10,13 +12,27 @@
 constexpr double MeanAnswerWeight = 0.01;
 /// Weight of one tick in the busy share of a flow: several seconds of ticks.
 constexpr double BusyWeight = 0.02;
+/// Weights of a sample below and above the quick answer time: it settles where few samples are
+/// below, at upstreams without a queue.
+constexpr double QuickWeightBelow = 0.1;
+constexpr double QuickWeightAbove = 0.01;
+/// Requests beyond the slots that a thread sends before it knows how an upstream copes: one waits
+/// at the upstream, so that no slot idles for a round trip.
+constexpr double StartReserve = 1;
+/// An answer this many times slower than a quick one has waited in a queue; service times of one
+/// kind of work rarely spread that far.
+constexpr double QueuedRatio = 3;
+constexpr double LimitDecrease = 0.7;
+constexpr double MinLimit = 1;
+/// Bound of a limit that nothing ever lowers.
+constexpr double MaxLimit = 256;
 
 } // namespace
 
 void UpstreamLedger::handleView(const FlowView &view)
 {
     for (const UpstreamRecord &record : view.upstreams()) {
-        open(record.entry.key);
+        open(record.entry.key, record.entry.slots);
     }
     for (auto it = m_index.begin(); it != m_index.end();) {
         const UpstreamAccount &account = m_accounts[it->second];
@@ -30,7 +46,7 @@
     }
 }
 
-AccountId UpstreamLedger::open(UpstreamKey key)
+AccountId UpstreamLedger::open(UpstreamKey key, std::uint32_t slots)
 {
     const auto [found, isNew] = m_index.try_emplace(key, 0);
     if (!isNew) {
@@ -45,6 +61,7 @@
     }
     m_accounts[found->second] = UpstreamAccount{};
     m_accounts[found->second].key = key;
+    m_accounts[found->second].limit = slots + StartReserve;
     return {found->second};
 }
 
@@ -98,6 +115,26 @@
     m_meanAnswerTime = m_meanAnswerTime == 0
                                ? sample
                                : m_meanAnswerTime + MeanAnswerWeight * (sample - m_meanAnswerTime);
+    const double weight = sample < m_quickAnswerTime ? QuickWeightBelow : QuickWeightAbove;
+    m_quickAnswerTime = m_quickAnswerTime == 0
+                                ? sample
+                                : m_quickAnswerTime + weight * (sample - m_quickAnswerTime);
+    learnLimit(account, sample, now);
+}
+
+// Additive increase while the limit is used, multiplicative decrease when answers have waited.
+void UpstreamLedger::learnLimit(UpstreamAccount &account, double sample, Milliseconds now) const
+{
+    if (sample > QueuedRatio * m_quickAnswerTime) {
+        // Answers under way reflect the limit before; one decrease for them is enough.
+        const auto spacing = static_cast<std::int64_t>(sample);
+        if (now - account.loweredAt >= Milliseconds{spacing}) {
+            account.limit = std::max(MinLimit, account.limit * LimitDecrease);
+            account.loweredAt = now;
+        }
+    } else if (account.inFlight() + 1 >= account.limit) {
+        account.limit = std::min(MaxLimit, account.limit + 1 / account.limit);
+    }
 }
 
 void UpstreamLedger::tick(Milliseconds)
--- a/src/core/flow/upstreamledger.h
+++ b/src/core/flow/upstreamledger.h
@@ -34,6 +34,12 @@
     /// Smoothed time from request to answer in milliseconds; zero: no sample yet.
     double answerTime = 0;
     Milliseconds sampledAt;
+    /// Requests that this thread sends there at the same time before others wait. Learned, since
+    /// other balancers use the same upstream.
+    double limit = 0;
+    Milliseconds loweredAt;
+
+    std::uint32_t inFlight() const { return busyFlows + openingFlows; }
 };
 
 /// Accounts of all upstreams as one traffic thread sees them. Thread safety: none.
@@ -44,8 +50,9 @@
     /// no flow.
     void handleView(const FlowView &view);
 
-    /// Returns the account, opening it if needed.
-    AccountId open(UpstreamKey key);
+    /// Returns the account, opening it if needed. @p slots: requests that the upstream works on at
+    /// the same time.
+    AccountId open(UpstreamKey key, std::uint32_t slots = 1);
     UpstreamAccount &at(AccountId id) { return m_accounts[id.value]; }
     const UpstreamAccount &at(AccountId id) const { return m_accounts[id.value]; }
     /// Returns the account, or null.
@@ -67,13 +74,19 @@
     double busyPerFlow() const { return m_busyPerFlow; }
     /// Mean time from request to answer over all upstreams in milliseconds; zero: unknown.
     double meanAnswerTime() const { return m_meanAnswerTime; }
+    /// Time from request to answer at an upstream without a queue in milliseconds; zero: unknown.
+    double quickAnswerTime() const { return m_quickAnswerTime; }
 
 private:
+    void learnLimit(UpstreamAccount &account, double sample, Milliseconds now) const;
+
     std::vector<UpstreamAccount> m_accounts;
     std::vector<std::uint32_t> m_free;
     std::unordered_map<UpstreamKey, std::uint32_t> m_index;
-    double m_busyPerFlow = 0;
+    /// Until it is measured: idle flows must count, or they gather at one upstream.
+    double m_busyPerFlow = 0.05;
     double m_meanAnswerTime = 0;
+    double m_quickAnswerTime = 0;
 };
 
 } // namespace damaskhall
--- a/src/forwarder/flowworker.cpp
+++ b/src/forwarder/flowworker.cpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <mutex>
 #include <thread>
+#include <unordered_map>
 #include <utility>
 
 namespace damaskhall {
@@ -72,25 +73,52 @@
             ++counts.byReason.at(static_cast<std::size_t>(FlowReason::Malformed));
             return;
         }
-        const FlowDecision decision = router.handlePacket(*packet, now);
+        carryOut(datagram, *packet, router.handlePacket(*packet, now), now);
+        releaseWaiting(now);
+    }
+
+    void carryOut(std::string_view datagram, const FlowPacket &packet, const FlowDecision &decision,
+                  Milliseconds now)
+    {
         switch (decision.action) {
         case FlowAction::Forward:
+            if (packet.isOpening && !waiting.empty()) {
+                waiting.erase(packet.key);
+            }
             format.writeForwarded(datagram, decision, port->prepare(decision.endpoint));
             return;
         case FlowAction::Reset:
-            format.writeReset(*packet,
-                              port->prepare({packet->key.client.address, options.listen.port}));
+            format.writeReset(packet,
+                              port->prepare({packet.key.client.address, options.listen.port}));
             return;
         case FlowAction::Hold:
-            hold(datagram, now);
+            hold(packet, decision, datagram, now);
             return;
         case FlowAction::Drop:
             return;
         }
     }
 
-    void hold(std::string_view datagram, Milliseconds now)
+    void releaseWaiting(Milliseconds now)
     {
+        for (const ReleasedPacket &released : router.takeReleased(now)) {
+            const auto found = waiting.find(released.packet.key);
+            if (found != waiting.end()) {
+                const std::string datagram = std::move(found->second);
+                waiting.erase(found);
+                carryOut(datagram, released.packet, released.decision, now);
+            }
+        }
+    }
+
+    void hold(const FlowPacket &packet, const FlowDecision &decision, std::string_view datagram,
+              Milliseconds now)
+    {
+        if (decision.reason == FlowReason::Waiting) {
+            // The router bounds the number and decides about each.
+            waiting[packet.key] = datagram;
+            return;
+        }
         if (held.size() >= MaxHeldPackets) {
             ++counts.heldTooMany;
             return;
@@ -112,7 +140,10 @@
 
     void tick()
     {
-        router.tick(clock.now());
+        const Milliseconds now = clock.now();
+        router.tick(now);
+        releaseWaiting(now);
+        port->flush();
         {
             const std::lock_guard lock(mutex);
             published = counts;
@@ -135,6 +166,8 @@
     asio::steady_timer timer;
     std::unique_ptr<UdpPort> port;
     std::deque<HeldPacket> held;
+    /// Openings for which the router has no room yet.
+    std::unordered_map<FlowKey, std::string> waiting;
     std::thread thread;
     std::atomic<std::int64_t> lastPacketAt{0};
     mutable std::mutex mutex;
--- /dev/null
+++ b/tests/core/flow/flowrouter_test.cpp
@@ -0,0 +1,315 @@
+#include "core/flow/flowrouter.h"
+
+#include "support/flowfixture.h"
+
+#include <gtest/gtest.h>
+#include <map>
+
+namespace damaskhall {
+namespace {
+
+using test::data;
+using test::FlowBench;
+using test::makeEntry;
+using test::opening;
+
+constexpr FlowCookie None{};
+
+// A flow from its opening to its end, on whichever balancer its packets arrive.
+class FlowStory : public ::testing::Test
+{
+protected:
+    FlowBench bench;
+};
+
+// Guards against packets that are lost because a balancer has just started.
+TEST_F(FlowStory, HoldsPacketsBeforeAnythingIsKnown)
+{
+    EXPECT_EQ(bench.send(opening(1)).action, FlowAction::Hold);
+    EXPECT_EQ(bench.send(data(2, FlowCookie{7}, 0)).action, FlowAction::Hold);
+}
+
+// Guards against flows that break when their packets move to another balancer.
+TEST_F(FlowStory, AnyBalancerFindsTheUpstreamByTheCookie)
+{
+    const std::vector<UpstreamEntry> entries = {makeEntry(1), makeEntry(2), makeEntry(3)};
+    bench.publish(entries);
+    const FlowDecision placed = bench.open(1);
+    ASSERT_EQ(placed.action, FlowAction::Forward);
+
+    FlowBench other(2);
+    other.publish(entries);
+    const FlowDecision recovered = other.send(data(1, placed.cookie, 100));
+    EXPECT_EQ(recovered.reason, FlowReason::Recovered);
+    EXPECT_EQ(recovered.upstream, placed.upstream);
+    EXPECT_EQ(recovered.cookie, placed.cookie);
+}
+
+// Guards against flows that break while their upstream leaves or its entry lapses.
+TEST_F(FlowStory, KeepsOpenFlowsWhereTheyAre)
+{
+    bench.publish({makeEntry(1)});
+    const FlowDecision placed = bench.open(1);
+    for (const auto standing :
+         {UpstreamStanding::Leaving, UpstreamStanding::Unconfirmed, UpstreamStanding::Gone}) {
+        bench.publish({makeEntry(1)}, standing);
+        const FlowDecision next = bench.send(data(1, placed.cookie, 10));
+        EXPECT_EQ(next.action, FlowAction::Forward);
+        EXPECT_EQ(next.upstream, placed.upstream);
+    }
+}
+
+// Guards against a client that waits for an upstream that certainly does not hold its flow.
+TEST_F(FlowStory, ResetsFlowsOfAReplacedUpstream)
+{
+    bench.publish({makeEntry(1)});
+    const FlowDecision placed = bench.open(1);
+    bench.publishRecords({{makeEntry(1), UpstreamStanding::Replaced, {}},
+                          {makeEntry(1, 2000), UpstreamStanding::Ready, {}}});
+    const FlowDecision known = bench.send(data(1, placed.cookie, 10));
+    EXPECT_EQ(known.action, FlowAction::Reset);
+    EXPECT_EQ(known.reason, FlowReason::UpstreamReplaced);
+    EXPECT_EQ(bench.send(data(1, placed.cookie, 10)).action, FlowAction::Reset)
+            << "also on a balancer that does not know the flow";
+}
+
+// Guards against resets of flows that a balancer merely does not know.
+TEST_F(FlowStory, StaysSilentAboutUnknownFlows)
+{
+    bench.publish({makeEntry(1)});
+    EXPECT_EQ(bench.send(data(1, FlowCookie{0x1234}, 10)).reason, FlowReason::UnknownCookie);
+    EXPECT_EQ(bench.send(data(1, None, 10)).reason, FlowReason::NoCookie);
+    for (const FlowReason reason : bench.reasons) {
+        EXPECT_NE(reason, FlowReason::NoRoute);
+    }
+}
+
+// Guards against a flow that is torn between two upstreams that answered copies of one opening
+// packet.
+TEST_F(FlowStory, PinsTheUpstreamThatTheClientAccepted)
+{
+    const std::vector<UpstreamEntry> entries = {makeEntry(1), makeEntry(2)};
+    bench.publish(entries);
+    const FlowDecision placed = bench.send(opening(1));
+    const UpstreamKey other = placed.upstream == entries[0].key ? entries[1].key : entries[0].key;
+    const FlowCookie accepted = flowCookie(other, test::BoardRoute);
+    EXPECT_EQ(bench.send(data(1, accepted, 0)).upstream, other);
+    // The late answer of the first upstream changed what the client returns.
+    const FlowDecision next = bench.send(data(1, placed.cookie, 10));
+    EXPECT_EQ(next.upstream, other);
+    EXPECT_EQ(next.cookie, accepted) << "the ends learn the right cookie again";
+}
+
+// Guards against a cookie of one route that opens another route's service.
+TEST(FlowCookies, DependOnTheRoute)
+{
+    const UpstreamKey key = makeEntry(1).key;
+    EXPECT_NE(flowCookie(key, test::BoardRoute), flowCookie(key, test::DeskRoute));
+    FlowBench bench;
+    bench.publish({makeEntry(1)});
+    FlowPacket packet = data(1, flowCookie(key, test::BoardRoute), 10);
+    packet.key.route = test::DeskRoute;
+    EXPECT_EQ(bench.send(packet).reason, FlowReason::UnknownCookie);
+}
+
+// What a balancer tells a client, and what it must not tell.
+class FlowRefusals : public ::testing::Test
+{
+protected:
+    FlowRefusals() { packet.key.route = {0xc61200ff, 80}; }
+
+    FlowBench bench;
+    FlowPacket packet = opening(1);
+};
+
+// Guards against clients that wait for a route that does not exist.
+TEST_F(FlowRefusals, ResetsWhatTheDeclarationLacks)
+{
+    bench.publish({makeEntry(1)});
+    EXPECT_EQ(bench.send(packet).action, FlowAction::Reset);
+}
+
+// Guards against a reset for a route that an outdated balancer has not heard of.
+TEST_F(FlowRefusals, SaysNothingWhileTheDeclarationIsUnconfirmed)
+{
+    bench.publish({makeEntry(1)}, UpstreamStanding::Ready, false);
+    EXPECT_EQ(bench.send(packet).action, FlowAction::Drop);
+}
+
+// Guards against requests that wait although no upstream can serve them.
+TEST_F(FlowRefusals, ResetsWhatNoUpstreamCanServe)
+{
+    bench.publish({makeEntry(1)}, UpstreamStanding::Leaving);
+    const FlowDecision decision = bench.send(opening(2));
+    EXPECT_EQ(decision.action, FlowAction::Reset);
+    EXPECT_EQ(decision.reason, FlowReason::NoUpstream);
+    bench.publish({makeEntry(1)}, UpstreamStanding::Leaving, false);
+    EXPECT_EQ(bench.send(opening(3)).reason, FlowReason::NoUpstreamUnconfirmed);
+}
+
+// Guards against flows that go on after their route was removed.
+TEST_F(FlowRefusals, EndsTheFlowsOfARemovedRoute)
+{
+    bench.publish({makeEntry(1)});
+    const FlowDecision placed = bench.open(4);
+    auto routes = std::make_shared<RouteTable>(*bench.routes);
+    routes->routes.erase(test::BoardRoute);
+    bench.routes = routes;
+    bench.publish({makeEntry(1)});
+    EXPECT_EQ(bench.send(data(4, placed.cookie, 10)).reason, FlowReason::RouteRemoved);
+}
+
+// Copies of an opening packet.
+class FlowCopies : public ::testing::Test
+{
+protected:
+    FlowBench bench;
+};
+
+// Guards against two upstreams that both answer.
+TEST_F(FlowCopies, FollowTheFirstWhileItsUpstreamShowsLife)
+{
+    bench.publish({makeEntry(1), makeEntry(2)});
+    const FlowDecision first = bench.send(opening(1));
+    // Another flow proves that the upstream answers.
+    bench.now += 10_ms;
+    FlowDecision proof;
+    for (std::uint16_t port = 10; proof.upstream != first.upstream; ++port) {
+        proof = bench.open(port);
+    }
+    bench.now += 150_ms;
+    const FlowDecision copy = bench.send(opening(1, 1));
+    EXPECT_EQ(copy.reason, FlowReason::OpeningRepeated);
+    EXPECT_EQ(copy.upstream, first.upstream);
+}
+
+// Guards against a client that asks a dead upstream until it gives up.
+TEST_F(FlowCopies, LeaveASilentUpstream)
+{
+    bench.publish({makeEntry(1), makeEntry(2)});
+    const FlowDecision first = bench.send(opening(1));
+    bench.now += 200_ms;
+    const FlowDecision copy = bench.send(opening(1, 1));
+    EXPECT_EQ(copy.reason, FlowReason::OpeningMoved);
+    EXPECT_NE(copy.upstream, first.upstream);
+}
+
+// Guards against a late copy that reaches an upstream after its leaving limit.
+TEST_F(FlowCopies, LeaveALeavingUpstream)
+{
+    bench.publish({makeEntry(1)});
+    bench.send(opening(1));
+    bench.publishRecords({{makeEntry(1), UpstreamStanding::Leaving, {}},
+                          {makeEntry(2), UpstreamStanding::Ready, {}}});
+    bench.now += 20_ms;
+    EXPECT_EQ(bench.send(opening(1, 1)).upstream, makeEntry(2).key);
+}
+
+// Where new flows go.
+class FlowPlacement : public ::testing::Test
+{
+protected:
+    /// Opens @p count busy flows and returns how many each upstream got.
+    std::map<UpstreamId, int> openBusy(int count)
+    {
+        std::map<UpstreamId, int> got;
+        for (int i = 0; i < count; ++i) {
+            const auto port = static_cast<std::uint16_t>(100 + m_opened++);
+            const FlowDecision decision = bench.open(port);
+            bench.send(data(port, decision.cookie, 200));
+            ++got[decision.upstream.id];
+        }
+        return got;
+    }
+
+    FlowBench bench;
+
+private:
+    int m_opened = 0;
+};
+
+// Guards against queues at one upstream while others are idle.
+TEST_F(FlowPlacement, SpreadsByOpenWork)
+{
+    bench.publish({makeEntry(1), makeEntry(2), makeEntry(3), makeEntry(4)});
+    for (const auto &[id, count] : openBusy(12)) {
+        EXPECT_NEAR(count, 3, 1) << "upstream " << id.value;
+    }
+}
+
+// Guards against bytes and delay between data centres while the own one has room.
+TEST_F(FlowPlacement, PrefersTheOwnDataCentreUntilItIsFuller)
+{
+    UpstreamEntry remote = makeEntry(2);
+    remote.dataCentre = test::OtherDataCentre;
+    bench.publish({makeEntry(1), remote});
+    auto got = openBusy(2);
+    EXPECT_EQ(got[UpstreamId{1}], 2);
+    got = openBusy(10);
+    EXPECT_GE(got[UpstreamId{2}], 3);
+}
+
+// Guards against clients that are sent to a dead upstream one after the other.
+TEST_F(FlowPlacement, AvoidsASilentUpstreamAndTriesItAgainRarely)
+{
+    bench.publish({makeEntry(1), makeEntry(2)});
+    const FlowDecision dead = bench.send(opening(1));
+    bench.now += 100_ms;
+    int toDead = 0;
+    for (std::uint16_t port = 10; port < 110; ++port) {
+        const FlowDecision decision = bench.send(opening(port));
+        if (decision.upstream == dead.upstream) {
+            ++toDead;
+        } else {
+            bench.now += 3_ms;
+            bench.send(data(port, decision.cookie, 0));
+        }
+        bench.now += 17_ms;
+    }
+    // Two seconds: tries after 0.5 s and then after 1 s.
+    EXPECT_LE(toDead, 2);
+}
+
+// Guards against an unconfirmed upstream that gets flows while a confirmed one can take them.
+TEST_F(FlowPlacement, UsesUnconfirmedUpstreamsLast)
+{
+    bench.publishRecords({{makeEntry(1), UpstreamStanding::Ready, {}},
+                          {makeEntry(2), UpstreamStanding::Unconfirmed, {}}});
+    EXPECT_EQ(openBusy(20)[UpstreamId{2}], 0);
+    bench.publish({makeEntry(2)}, UpstreamStanding::Unconfirmed);
+    EXPECT_EQ(bench.send(opening(9)).upstream, makeEntry(2).key);
+}
+
+// Guards against new flows that join a queue at an upstream that has become slow.
+TEST_F(FlowPlacement, AvoidsASlowUpstream)
+{
+    bench.publish({makeEntry(1), makeEntry(2), makeEntry(3), makeEntry(4)});
+    std::uint32_t sequence = 1001;
+    std::map<std::uint16_t, FlowDecision> flows;
+    for (std::uint16_t port = 1; port <= 8; ++port) {
+        flows[port] = bench.open(port);
+    }
+    // Requests on open flows: upstream 1 answers after 210 ms, the others after 30 ms.
+    for (int round = 0; round < 6; ++round) {
+        for (auto &[port, flow] : flows) {
+            bench.send(data(port, flow.cookie, 100, sequence, 5000 + 1000 * round));
+        }
+        sequence += 100;
+        bench.now += 30_ms;
+        for (auto &[port, flow] : flows) {
+            if (flow.upstream.id != UpstreamId{1}) {
+                bench.send(data(port, flow.cookie, 0, sequence, 6000 + 1000 * round));
+            }
+        }
+        bench.now += 180_ms;
+        for (auto &[port, flow] : flows) {
+            if (flow.upstream.id == UpstreamId{1}) {
+                bench.send(data(port, flow.cookie, 0, sequence, 6000 + 1000 * round));
+            }
+        }
+    }
+    EXPECT_EQ(openBusy(6)[UpstreamId{1}], 0);
+}
+
+} // namespace
+} // namespace damaskhall
--- /dev/null
+++ b/tests/core/flow/storereader_test.cpp
@@ -0,0 +1,98 @@
+#include "core/flow/storereader.h"
+
+#include <gtest/gtest.h>
+
+namespace damaskhall {
+namespace {
+
+class StoreReaderTest : public ::testing::Test
+{
+protected:
+    /// Returns the call that is due within the next two seconds.
+    StoreCall await()
+    {
+        for (int i = 0; i < 2000; ++i) {
+            if (auto call = reader.next(now)) {
+                return *call;
+            }
+            now += 1_ms;
+        }
+        ADD_FAILURE() << "no call is due";
+        return {};
+    }
+
+    void end(StoreOutcome outcome, std::uint64_t asOf = 0, std::optional<std::string> page = {})
+    {
+        reader.handleEnd(outcome, {asOf}, std::move(page), now);
+    }
+
+    Milliseconds now = 10_s;
+    StoreReader reader{{1_s, 1_s}, seededRandom(1)};
+};
+
+// Guards against changes that are missed between the pages of a list and the first watch.
+TEST_F(StoreReaderTest, WatchesFromTheFirstPage)
+{
+    EXPECT_EQ(await().kind, StoreCall::Kind::List);
+    end(StoreOutcome::Done, 100, "servers/i-5");
+    const StoreCall second = await();
+    EXPECT_EQ(second.kind, StoreCall::Kind::List);
+    EXPECT_EQ(second.pageAfter, "servers/i-5");
+    end(StoreOutcome::Done, 120);
+    const StoreCall watch = await();
+    EXPECT_EQ(watch.kind, StoreCall::Kind::Watch);
+    EXPECT_EQ(watch.after, Revision{100});
+}
+
+// Guards against a call for each heartbeat of each upstream.
+TEST_F(StoreReaderTest, KeepsItsPace)
+{
+    await();
+    end(StoreOutcome::Done, 100);
+    await();
+    const Milliseconds started = now;
+    now += 20_ms;
+    end(StoreOutcome::Done, 101);
+    await();
+    EXPECT_EQ(now, started + 1_s);
+}
+
+// Guards against a directory that stays old after the store forgot its history.
+TEST_F(StoreReaderTest, ListsAgainWhenTheHistoryIsLost)
+{
+    await();
+    end(StoreOutcome::Done, 100);
+    await();
+    end(StoreOutcome::HistoryLost);
+    EXPECT_FALSE(reader.isFollowing());
+    EXPECT_EQ(await().kind, StoreCall::Kind::List);
+}
+
+// Guards against a store that is flooded by the instances that it turns away.
+TEST_F(StoreReaderTest, RepeatsFailedCallsAfterARisingDelay)
+{
+    await();
+    Milliseconds last = now;
+    Milliseconds longest;
+    for (int i = 0; i < 8; ++i) {
+        end(i % 2 == 0 ? StoreOutcome::Refused : StoreOutcome::Unanswered);
+        EXPECT_TRUE(reader.isAway());
+        await();
+        longest = std::max(longest, now - last);
+        last = now;
+    }
+    EXPECT_GE(longest, 400_ms);
+    EXPECT_LE(longest, 1200_ms) << "a store that is back is noticed soon";
+    end(StoreOutcome::Done, 5);
+    EXPECT_FALSE(reader.isAway());
+}
+
+// Guards against a second call while one is under way.
+TEST_F(StoreReaderTest, MakesOneCallAtATime)
+{
+    await();
+    EXPECT_FALSE(reader.next(now + 60_s));
+}
+
+} // namespace
+} // namespace damaskhall
--- /dev/null
+++ b/tests/core/flow/upstreamdirectory_test.cpp
@@ -0,0 +1,144 @@
+#include "core/flow/upstreamdirectory.h"
+
+#include "support/flowfixture.h"
+
+#include <gtest/gtest.h>
+
+namespace damaskhall {
+namespace {
+
+using test::makeEntry;
+
+class UpstreamDirectoryTest : public ::testing::Test
+{
+protected:
+    UpstreamStanding standing(const UpstreamEntry &entry) const
+    {
+        return directory.record(entry.key).standing;
+    }
+
+    static UpstreamEntry leaving(UpstreamEntry entry)
+    {
+        entry.isLeaving = true;
+        return entry;
+    }
+
+    UpstreamDirectory directory;
+    UpstreamEntry first = makeEntry(1);
+    Milliseconds now = 1_s;
+};
+
+// Guards against new flows on an upstream whose entry is gone.
+TEST_F(UpstreamDirectoryTest, BelievesALapseWhileTheStoreAnswers)
+{
+    directory.handleEntry(first, {5}, now);
+    directory.handleRemoval(first.key.id, {6}, now);
+    EXPECT_EQ(standing(first), UpstreamStanding::Gone);
+}
+
+// Guards against a stale read that brings an upstream back that has left.
+TEST_F(UpstreamDirectoryTest, IgnoresReportsBelowTheNewestRevision)
+{
+    directory.handleEntry(first, {5}, now);
+    directory.handleEntry(leaving(first), {7}, now);
+    directory.handleEntry(first, {6}, now);
+    EXPECT_EQ(standing(first), UpstreamStanding::Leaving);
+    directory.handleRemoval(first.key.id, {8}, now);
+    directory.handleEntry(first, {7}, now);
+    EXPECT_EQ(standing(first), UpstreamStanding::Gone);
+}
+
+// Guards against a heartbeat from a confused upstream that takes its leaving back.
+TEST_F(UpstreamDirectoryTest, KeepsALeavingUpstreamLeaving)
+{
+    directory.handleEntry(leaving(first), {5}, now);
+    directory.handleEntry(first, {6}, now);
+    EXPECT_EQ(standing(first), UpstreamStanding::Leaving);
+}
+
+// Guards against an outage of the store that empties a service.
+TEST_F(UpstreamDirectoryTest, DoubtsALapseWhileTheStoreWasAway)
+{
+    const UpstreamEntry left = leaving(makeEntry(2));
+    directory.handleEntry(first, {5}, now);
+    directory.handleEntry(left, {6}, now);
+    directory.handleStoreLost(now);
+    now += 5_s;
+    directory.handleStoreRegained(now);
+    directory.handleRemoval(first.key.id, {7}, now);
+    directory.handleRemoval(left.key.id, {8}, now);
+    EXPECT_EQ(standing(first), UpstreamStanding::Unconfirmed);
+    EXPECT_EQ(standing(left), UpstreamStanding::Gone) << "it had announced its leaving";
+
+    // An entry that is written again within the confirmation time is as good as before.
+    now += 1900_ms;
+    directory.tick(now);
+    EXPECT_EQ(standing(first), UpstreamStanding::Unconfirmed);
+    directory.handleEntry(first, {9}, now);
+    EXPECT_EQ(standing(first), UpstreamStanding::Ready);
+
+    // One that is still missing after it is gone.
+    directory.handleRemoval(first.key.id, {10}, now);
+    now += 200_ms;
+    directory.tick(now);
+    EXPECT_EQ(standing(first), UpstreamStanding::Gone);
+}
+
+// Guards against flows that go to the successor of the process that held them.
+TEST_F(UpstreamDirectoryTest, ReplacesAnEarlierStartAndTheLastUserOfAnAddress)
+{
+    directory.handleEntry(first, {5}, now);
+    const UpstreamEntry restarted = makeEntry(1, 2000);
+    directory.handleEntry(restarted, {6}, now);
+    EXPECT_EQ(standing(first), UpstreamStanding::Replaced);
+    EXPECT_EQ(standing(restarted), UpstreamStanding::Ready);
+
+    UpstreamEntry successor = makeEntry(3, 3000);
+    successor.endpoint = restarted.endpoint;
+    successor.service = test::Desk;
+    directory.handleRemoval(restarted.key.id, {7}, now);
+    directory.handleEntry(successor, {8}, now);
+    EXPECT_EQ(standing(restarted), UpstreamStanding::Replaced);
+    EXPECT_EQ(standing(successor), UpstreamStanding::Ready);
+}
+
+// Guards against entries that stay after changes were lost.
+TEST_F(UpstreamDirectoryTest, RemovesWhatACompleteListLacks)
+{
+    const UpstreamEntry second = makeEntry(2);
+    const UpstreamEntry newer = makeEntry(3);
+    directory.handleEntry(first, {5}, now);
+    directory.handleEntry(second, {6}, now);
+    directory.handleEntry(newer, {30}, now);
+    EXPECT_FALSE(directory.isComplete());
+    directory.handleListEnd({second.key.id}, {20}, now);
+    EXPECT_TRUE(directory.isComplete());
+    EXPECT_EQ(standing(first), UpstreamStanding::Gone);
+    EXPECT_EQ(standing(second), UpstreamStanding::Ready);
+    EXPECT_EQ(standing(newer), UpstreamStanding::Ready) << "written after the list was read";
+}
+
+// Guards against a directory that grows with each replaced upstream.
+TEST_F(UpstreamDirectoryTest, ForgetsWhenNoFlowCanBeLeft)
+{
+    directory.handleEntry(first, {5}, now);
+    directory.handleRemoval(first.key.id, {6}, now);
+    directory.tick(now + 59'999_ms);
+    EXPECT_EQ(directory.records().size(), 1U);
+    directory.tick(now + 60_s);
+    EXPECT_TRUE(directory.records().empty());
+}
+
+// Guards against a new view for each heartbeat.
+TEST_F(UpstreamDirectoryTest, ChangesItsVersionOnlyWithItsRecords)
+{
+    first.warmupLeft = 2_s;
+    directory.handleEntry(first, {5}, now);
+    const std::uint64_t version = directory.version();
+    first.warmupLeft = 800_ms;
+    directory.handleEntry(first, {6}, now + 1200_ms);
+    EXPECT_EQ(directory.version(), version);
+}
+
+} // namespace
+} // namespace damaskhall
--- /dev/null
+++ b/tests/io/httpchannel_test.cpp
@@ -0,0 +1,103 @@
+#include "io/httpchannel.h"
+
+#include "support/rawserver.h"
+
+#include <gtest/gtest.h>
+#include <optional>
+
+namespace damaskhall {
+namespace {
+
+using test::RawServer;
+
+constexpr Milliseconds Patience = 300_ms;
+
+class HttpChannelTest : public ::testing::Test
+{
+protected:
+    /// Makes one request and waits for its end.
+    Result<HttpChannelReply> call(HttpChannel &target, Milliseconds timeout = Patience)
+    {
+        std::optional<Result<HttpChannelReply>> result;
+        target.request({"GET", "/path?x=1", {}}, timeout,
+                        [&](Result<HttpChannelReply> reply) { result = std::move(reply); });
+        context.restart();
+        while (!result && context.run_one_for(std::chrono::seconds(5)) > 0) {
+        }
+        return result ? *result
+                      : Result<HttpChannelReply>(
+                                Error{ErrorCode::System, Step::WatchPlatform, {}, "no end"});
+    }
+
+    std::string answer = RawServer::ok("hello");
+    std::string lastHead;
+    asio::io_context context{1};
+    RawServer server{context, [this](const std::string &head) {
+                         lastHead = head;
+                         return answer;
+                     }};
+    HttpChannel channel{context, server.endpoint(), Step::WatchPlatform};
+};
+
+// Guards against a connection for each call.
+TEST_F(HttpChannelTest, KeepsItsConnection)
+{
+    for (int i = 0; i < 3; ++i) {
+        const auto reply = call(channel);
+        ASSERT_TRUE(reply) << toString(reply.assume_error());
+        EXPECT_EQ(reply.assume_value().status, 200U);
+        EXPECT_EQ(reply.assume_value().body, "hello");
+    }
+    EXPECT_EQ(server.connections(), 1);
+    EXPECT_TRUE(lastHead.starts_with("GET /path?x=1 HTTP/1.1\r\n")) << lastHead;
+}
+
+// Guards against a connection that lost an answer and stays silent for good.
+TEST_F(HttpChannelTest, OpensANewConnectionAfterATimeout)
+{
+    answer = "";
+    const auto lost = call(channel);
+    ASSERT_FALSE(lost);
+    EXPECT_EQ(lost.assume_error().code, ErrorCode::Timeout);
+    answer = RawServer::ok("back");
+    const auto reply = call(channel);
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply.assume_value().body, "back");
+    EXPECT_EQ(server.connections(), 2);
+}
+
+// Guards against half an answer that is taken for a whole one.
+TEST_F(HttpChannelTest, ReportsPartialAndBrokenAnswers)
+{
+    answer = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf";
+    EXPECT_EQ(call(channel).assume_error().code, ErrorCode::Timeout);
+    answer = "close";
+    EXPECT_EQ(call(channel).assume_error().code, ErrorCode::Unreachable);
+    answer = "not http at all\r\n\r\n";
+    EXPECT_EQ(call(channel).assume_error().code, ErrorCode::Malformed);
+    answer = RawServer::ok("again");
+    EXPECT_TRUE(call(channel));
+}
+
+// Guards against a caller that mistakes a refusal for a lost answer.
+TEST_F(HttpChannelTest, PassesOnTheStatus)
+{
+    answer = RawServer::ok("{}", "410 Gone");
+    const auto reply = call(channel);
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply.assume_value().status, 410U);
+}
+
+// Guards against a call that never ends when nobody listens.
+TEST_F(HttpChannelTest, ReportsAnUnreachableServer)
+{
+    asio::ip::tcp::acceptor unused(context, {asio::ip::address_v4::loopback(), 0});
+    const Endpoint closed{asio::ip::address_v4::loopback().to_uint(),
+                          unused.local_endpoint().port()};
+    unused.close();
+    HttpChannel nobody(context, closed, Step::WatchPlatform);
+    EXPECT_EQ(call(nobody).assume_error().code, ErrorCode::Unreachable);
+}
+
+} // namespace
+} // namespace damaskhall
--- /dev/null
+++ b/tests/support/rawserver.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "base/endpoint.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace damaskhall::test {
+
+/// HTTP server on loopback whose answers a test writes byte by byte, so that it can also send
+/// wrong, partial or no answers. Runs on the test's io_context.
+class RawServer
+{
+public:
+    /// Gets the head of a request and returns the bytes to answer; empty: stays silent.
+    using Answer = std::function<std::string(const std::string &head)>;
+
+    RawServer(asio::io_context &context, Answer answer)
+        : m_acceptor(context, {asio::ip::address_v4::loopback(), 0})
+        , m_answer(std::move(answer))
+    {
+        accept();
+    }
+
+    Endpoint endpoint() const
+    {
+        return {asio::ip::address_v4::loopback().to_uint(), m_acceptor.local_endpoint().port()};
+    }
+
+    int connections() const { return m_connections; }
+
+    /// Returns an answer with @p body.
+    static std::string ok(const std::string &body, const std::string &status = "200 OK")
+    {
+        return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
+    }
+
+private:
+    struct Connection
+    {
+        explicit Connection(asio::ip::tcp::socket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+
+        asio::ip::tcp::socket socket;
+        asio::streambuf input;
+        std::string output;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
+            if (!error) {
+                ++m_connections;
+                read(std::make_shared<Connection>(std::move(socket)));
+                accept();
+            }
+        });
+    }
+
+    void read(const std::shared_ptr<Connection> &connection)
+    {
+        asio::async_read_until(
+                connection->socket, connection->input, "\r\n\r\n",
+                [this, connection](const std::error_code &error, std::size_t length) {
+                    if (error) {
+                        return;
+                    }
+                    const std::string head(asio::buffers_begin(connection->input.data()),
+                                           asio::buffers_begin(connection->input.data()) +
+                                                   static_cast<std::ptrdiff_t>(length));
+                    connection->input.consume(length);
+                    connection->output = m_answer(head);
+                    if (connection->output == "close") {
+                        connection->socket.close();
+                        return;
+                    }
+                    asio::async_write(
+                            connection->socket, asio::buffer(connection->output),
+                            [this, connection](const std::error_code &failed, std::size_t) {
+                                if (!failed) {
+                                    read(connection);
+                                }
+                            });
+                });
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    Answer m_answer;
+    int m_connections = 0;
+};
+
+} // namespace damaskhall::test
--- /dev/null
+++ b/tests/usersplatform/documents_test.cpp
@@ -0,0 +1,124 @@
+#include "platform/documents.h"
+
+#include "config/declaration.h"
+
+#include <gtest/gtest.h>
+
+namespace damaskhall::platform {
+namespace {
+
+const std::string Entry =
+        R"({"service":"board","addr":"10.128.0.9:8080","zone":"katugastota","version":"v1",)"
+        R"("concurrency":2,"state":"ready","warmup_left_ms":700,"seq":4,"born":1700000000123})";
+
+std::string replaced(const std::string &from, const std::string &to)
+{
+    std::string text = Entry;
+    return text.replace(text.find(from), from.size(), to);
+}
+
+// Guards against fields that are taken for others.
+TEST(UpstreamDocument, IsDecodedOnce)
+{
+    const auto content = decodeUpstream("servers/i-7f3a91c2", Entry);
+    const auto *entry = std::get_if<UpstreamEntry>(&content);
+    ASSERT_NE(entry, nullptr);
+    EXPECT_EQ(entry->key.id, UpstreamId{0x7f3a91c2});
+    EXPECT_EQ(entry->key.born, Incarnation{1700000000123});
+    EXPECT_EQ(entry->service, serviceId("board"));
+    EXPECT_EQ(toString(entry->endpoint), "10.128.0.9:8080");
+    EXPECT_EQ(entry->slots, 2U);
+    EXPECT_EQ(entry->warmupLeft, 700_ms);
+    EXPECT_FALSE(entry->isLeaving);
+}
+
+// Guards against flows to what a foreign writer left in the store.
+TEST(UpstreamDocument, NamesNoUpstreamIfAnyFieldIsWrong)
+{
+    const std::vector<std::string> values = {
+            "",
+            "not json",
+            "[]",
+            "null",
+            "\xff\xfe",
+            replaced(R"("service":"board",)", ""),
+            replaced("\"board\"", "7"),
+            replaced("10.128.0.9:8080", "10.128.0.9"),
+            replaced("10.128.0.9:8080", "host:80"),
+            replaced("\"concurrency\":2", "\"concurrency\":\"2\""),
+            replaced("\"concurrency\":2", "\"concurrency\":0"),
+            replaced("\"concurrency\":2", "\"concurrency\":-1"),
+            replaced("\"concurrency\":2", "\"concurrency\":1e99"),
+            replaced("\"ready\"", "\"resting\""),
+            replaced("\"ready\"", "null"),
+            replaced("1700000000123", "1700000000123.5"),
+            replaced("1700000000123", "\"1700000000123\""),
+            replaced("\"katugastota\"", "{}"),
+    };
+    for (const std::string &value : values) {
+        const auto content = decodeUpstream("servers/i-7f", value);
+        const auto *removal = std::get_if<UpstreamRemoval>(&content);
+        ASSERT_NE(removal, nullptr) << value;
+        EXPECT_EQ(removal->id, UpstreamId{0x7f});
+        EXPECT_FALSE(removal->mistake.empty()) << value;
+    }
+}
+
+// Guards against keys that name no upstream.
+TEST(UpstreamDocument, TakesItsIdFromTheKey)
+{
+    EXPECT_EQ(upstreamId("servers/i-0a"), UpstreamId{10});
+    for (const char *key :
+         {"servers/", "servers/i-", "servers/i-xyz", "servers/i-00112233445566778"}) {
+        EXPECT_FALSE(upstreamId(key)) << key;
+    }
+}
+
+const std::string Config =
+        R"({"version":7,"routes":[{"name":"r-1","host":"198.18.0.1","prefix":"/8443/",)"
+        R"("kind":"safe","timeout_ms":1500,"target_latency_ms":150,"priority":2,)"
+        R"("split":[{"service":"a","weight":90},{"service":"b","weight":10}],"max_attempts":2},)"
+        R"({"name":"r-2","host":"198.18.0.2","prefix":"/443/","kind":"upload","timeout_ms":5000,)"
+        R"("target_latency_ms":500,"priority":2,"service":"b","max_attempts":2}],)"
+        R"("services":[{"name":"a","health_path":"/h"},{"name":"b","health_path":"/h"}],)"
+        R"("limits":{"idle_timeout_ms":15000}})";
+
+// Guards against routes that lead elsewhere than declared.
+TEST(DeclarationDocument, IsDecodedOnce)
+{
+    const DeclaredRoutes declared = decodeDeclaration(Config);
+    ASSERT_NE(declared.table, nullptr) << declared.mistake;
+    EXPECT_EQ(declared.table->revision, Revision{7});
+    EXPECT_EQ(declared.table->idleTimeout, 15_s);
+    const Route *split = declared.table->find({0xc6120001, 8443});
+    ASSERT_NE(split, nullptr);
+    EXPECT_TRUE(leadsTo(*split, serviceId("a")));
+    EXPECT_TRUE(leadsTo(*split, serviceId("b")));
+    EXPECT_EQ(chooseService(*split, 89), serviceId("a"));
+    EXPECT_EQ(chooseService(*split, 90), serviceId("b"));
+    const Route *single = declared.table->find({0xc6120002, 443});
+    ASSERT_NE(single, nullptr);
+    EXPECT_EQ(single->kind, RouteKind::Upload);
+    EXPECT_EQ(declared.table->find({0xc6120001, 443}), nullptr);
+}
+
+// Guards against a half-read declaration in force.
+TEST(DeclarationDocument, IsRefusedAsAWhole)
+{
+    for (const auto &[from, to] :
+         std::vector<std::pair<std::string, std::string>>{{"\"version\":7", "\"version\":\"7\""},
+                                                          {"\"safe\"", "\"unknown\""},
+                                                          {"198.18.0.2", "198.18.0.999"},
+                                                          {"/443/", "/99999/"},
+                                                          {"\"limits\"", "\"other\""},
+                                                          {"\"service\":\"b\",\"max", "\"max"}}) {
+        std::string text = Config;
+        text.replace(text.find(from), from.size(), to);
+        const DeclaredRoutes declared = decodeDeclaration(text);
+        EXPECT_EQ(declared.table, nullptr) << to;
+        EXPECT_FALSE(declared.mistake.empty()) << to;
+    }
+}
+
+} // namespace
+} // namespace damaskhall::platform
