--- a/fakes/flowfleet.cpp
+++ b/fakes/flowfleet.cpp
@@ -167,7 +167,6 @@
         for (Balancer &balancer : balancers) {
             if (balancer.isUp) {
                 balancer.router->tick(events.now());
-                carryOut(balancer, balancer.router->takeReleased(events.now()));
             }
         }
         events.schedule(events.now() + RouterTick, [this] { tick(); });
@@ -353,13 +352,6 @@
         });
     }
 
-    void carryOut(Balancer &balancer, const std::vector<ReleasedPacket> &released)
-    {
-        for (const ReleasedPacket &packet : released) {
-            carryOut(balancer, packet.packet, packet.decision);
-        }
-    }
-
     void carryOut(Balancer &balancer, const FlowPacket &packet, const FlowDecision &decision)
     {
         if (decision.action == FlowAction::Reset) {
@@ -381,8 +373,6 @@
         const Milliseconds delay = options.delay + (isCross ? options.crossDelay : 0_ms);
         events.schedule(events.now() + delay,
                         [this, index, forwarded] { receive(index, forwarded); });
-        // Packets of a held flow wait in the router; what it released goes out with the next one.
-        carryOut(balancer, balancer.router->takeReleased(events.now()));
     }
 
     // Upstreams.
--- a/src/core/flow/flowdecision.cpp
+++ b/src/core/flow/flowdecision.cpp
@@ -30,10 +30,6 @@
         return "established";
     case FlowReason::Recovered:
         return "recovered";
-    case FlowReason::Waiting:
-        return "waiting";
-    case FlowReason::PlacedAfterWait:
-        return "placed_after_wait";
     case FlowReason::NotStarted:
         return "not_started";
     case FlowReason::NoRoute:
--- a/src/core/flow/flowdecision.h
+++ b/src/core/flow/flowdecision.h
@@ -29,10 +29,6 @@
     Established,
     /// Packet of a flow that another balancer opened, found by its cookie.
     Recovered,
-    /// All upstreams of the service are full; the opening waits.
-    Waiting,
-    /// An opening that had waited, placed by load.
-    PlacedAfterWait,
     /// Declaration or upstreams are not known yet.
     NotStarted,
     /// No declared route has this address.
@@ -56,7 +52,7 @@
     /// The packet cannot be read.
     Malformed,
 };
-inline constexpr int FlowReasonCount = 18;
+inline constexpr int FlowReasonCount = 16;
 
 /// Returns the name in lower case with underscores. Thread safety: reentrant.
 std::string_view toString(FlowAction action);
--- a/src/core/flow/flowrouter.cpp
+++ b/src/core/flow/flowrouter.cpp
@@ -11,14 +11,6 @@
 /// Interval of housekeeping; averages and forgotten flows need no finer one.
 constexpr Milliseconds TickInterval = 100_ms;
 
-/// Clients repeat their opening packet 200 ms and 600 ms after the first one and give up later.
-constexpr std::array<Milliseconds, 3> CopyAge = {0_ms, 200_ms, 600_ms};
-/// Longest wait of an opening. Then it is sent to a full upstream, which may be less full than it
-/// seems from here.
-constexpr Milliseconds MaxWait = 400_ms;
-/// Openings that wait at the same time; beyond it, full upstreams get them at once.
-constexpr std::size_t MaxWaiting = 2000;
-
 constexpr std::int32_t distance(std::uint32_t from, std::uint32_t to)
 {
     return static_cast<std::int32_t>(to - from);
@@ -133,75 +125,12 @@
         return m_view->isCurrent() ? refuse(FlowAction::Reset, FlowReason::NoUpstream)
                                    : refuse(FlowAction::Drop, FlowReason::NoUpstreamUnconfirmed);
     }
-    const UpstreamAccount *account = m_ledger.find(record->entry.key);
-    const bool mayWait = reason == FlowReason::Placed && m_waiting.size() < MaxWaiting;
-    if (mayWait && account && Placement::isFull(*account)) {
-        return wait(context, service);
-    }
-    Flow &flow =
-            m_flows.insert(context.packet.key, record->entry.key, FlowPhase::Opening, context.now);
-    flow.lastOpeningAt = context.now;
+    Flow &flow = m_flows.insert(context.packet.key, record->entry, FlowPhase::Opening, context.now);
     flow.sentEnd = context.packet.sequence + 1;
     m_ledger.noteOpening(flow.account, context.now);
     return forward(context, *record, reason);
 }
 
-FlowDecision FlowRouter::wait(const Context &context, ServiceId service)
-{
-    WaitingOpening opening;
-    opening.packet = context.packet;
-    opening.service = service;
-    opening.since = context.now;
-    const std::size_t copy = std::min<std::size_t>(context.packet.copy, CopyAge.size() - 1);
-    opening.askedAt = context.now - CopyAge.at(copy);
-    opening.dueAt = opening.askedAt + context.route->target;
-    m_waiting.push(opening);
-    return refuse(FlowAction::Hold, FlowReason::Waiting);
-}
-
-std::vector<ReleasedPacket> FlowRouter::takeReleased(Milliseconds now)
-{
-    std::vector<ReleasedPacket> released;
-    if (m_waiting.isEmpty()) {
-        return released;
-    }
-    for (const WaitingOpening &opening : m_waiting.takeExpired(MaxWait, now)) {
-        released.push_back(release(opening, FlowReason::PlacedAfterWait, now));
-    }
-    const Milliseconds answerTime{static_cast<std::int64_t>(m_ledger.meanAnswerTime())};
-    for (const ServiceId service : m_waiting.services()) {
-        while (hasRoom(service, now)) {
-            const auto opening = m_waiting.pop(service, answerTime, now);
-            if (!opening) {
-                break;
-            }
-            released.push_back(release(*opening, FlowReason::PlacedAfterWait, now));
-        }
-    }
-    return released;
-}
-
-bool FlowRouter::hasRoom(ServiceId service, Milliseconds now) const
-{
-    const UpstreamRecord *record =
-            m_placement.choose(*m_view, m_ledger, service, std::nullopt, now, m_hooks.random);
-    const UpstreamAccount *account = record ? m_ledger.find(record->entry.key) : nullptr;
-    return account && !Placement::isFull(*account);
-}
-
-ReleasedPacket FlowRouter::release(const WaitingOpening &opening, FlowReason reason,
-                                   Milliseconds now)
-{
-    Context context{opening.packet, now};
-    context.route = m_view->routes().find(opening.packet.key.route);
-    ReleasedPacket released{opening.packet, refuse(FlowAction::Reset, FlowReason::RouteRemoved)};
-    if (context.route) {
-        released.decision = place(context, std::nullopt, reason);
-    }
-    m_hooks.report(released.packet, released.decision, now);
-    return released;
-}
-
 FlowDecision FlowRouter::forward(const Context &context, const UpstreamRecord &record,
                                  FlowReason reason) const
 {
@@ -226,7 +155,7 @@
         // of the opening packet may have gone to another one.
         const UpstreamRecord *accepted = m_view->findByCookie(packet.cookie, packet.key.route);
         if (accepted && accepted->entry.key != flow.upstream) {
-            m_flows.move(flow, accepted->entry.key);
+            m_flows.move(flow, accepted->entry);
         }
     }
     const UpstreamRecord *record = m_view->find(flow.upstream);
@@ -254,7 +183,7 @@
     }
     const FlowDecision decision = forward(context, *record, FlowReason::Recovered);
     if (!packet.isReset && !packet.isClosing) {
-        Flow &flow = m_flows.insert(packet.key, record->entry.key, FlowPhase::Open, context.now);
+        Flow &flow = m_flows.insert(packet.key, record->entry, FlowPhase::Open, context.now);
         flow.acknowledged = packet.acknowledgment;
         flow.sentEnd = packet.sequence;
         context.flow = &flow;
--- a/src/core/flow/flowrouter.h
+++ b/src/core/flow/flowrouter.h
@@ -3,7 +3,6 @@
 #include "base/random.h"
 #include "core/flow/flowdecision.h"
 #include "core/flow/flowtable.h"
-#include "core/flow/openingqueue.h"
 #include "core/flow/placement.h"
 
 #include <functional>
@@ -24,13 +23,6 @@
     std::function<void(const FlowPacket &, UpstreamKey, Milliseconds duration)> reportAnswer;
 };
 
-/// Decision about a packet that was held.
-struct ReleasedPacket
-{
-    FlowPacket packet;
-    FlowDecision decision;
-};
-
 /// Decides what happens to each packet of a client: a chain of filters, the first that decides
 /// wins. Deterministic; holds no clock, thread or socket. Thread safety: none.
 class FlowRouter
@@ -42,9 +34,6 @@
     /// Takes a new view. Precondition: @p view is not null.
     void handleView(std::shared_ptr<const FlowView> view);
     FlowDecision handlePacket(const FlowPacket &packet, Milliseconds now);
-    /// Returns decisions about openings that were held and whose wait is over. Call after each
-    /// packet and tick.
-    std::vector<ReleasedPacket> takeReleased(Milliseconds now);
     void tick(Milliseconds now);
 
     const FlowView &view() const { return *m_view; }
@@ -68,9 +57,6 @@
     std::optional<FlowDecision> filterKnownFlow(Context &context);
     std::optional<FlowDecision> filterCookie(Context &context);
 
-    FlowDecision wait(const Context &context, ServiceId service);
-    bool hasRoom(ServiceId service, Milliseconds now) const;
-    ReleasedPacket release(const WaitingOpening &opening, FlowReason reason, Milliseconds now);
     FlowDecision place(Context &context, std::optional<UpstreamKey> avoided, FlowReason reason);
     FlowDecision forward(const Context &context, const UpstreamRecord &record,
                          FlowReason reason) const;
@@ -84,7 +70,6 @@
     UpstreamLedger m_ledger;
     FlowTable m_flows;
     Placement m_placement;
-    OpeningQueue m_waiting;
     Milliseconds m_nextTick;
 };
 
--- a/src/core/flow/flowtable.cpp
+++ b/src/core/flow/flowtable.cpp
@@ -15,9 +15,9 @@
     {
         const auto step = static_cast<std::uint32_t>(change);
         UpstreamAccount &account = ledger.at(flow.account);
-        account.openingFlows += flow.phase == FlowPhase::Opening ? step : 0;
+        account.openingFlows += flow.phase == FlowPhase::Opening && flow.isCounted ? step : 0;
         account.openFlows += flow.phase == FlowPhase::Open ? step : 0;
-        account.busyFlows += flow.isBusy ? step : 0;
+        account.busyFlows += flow.isBusy && flow.isCounted ? step : 0;
         if (account.busyFlows == 0) {
             account.stalledSince.reset();
         }
@@ -37,6 +37,12 @@
         return idle >= times.idle;
     }
 
+    /// Time since the opening or request under way was sent.
+    static Milliseconds inFlightSince(const Flow &flow)
+    {
+        return flow.phase == FlowPhase::Opening ? flow.lastOpeningAt : flow.requestAt;
+    }
+
     UpstreamLedger &ledger;
     tsl::robin_map<FlowKey, Flow, std::hash<FlowKey>> flows;
 };
@@ -54,14 +60,16 @@
     return found == m_d->flows.end() ? nullptr : &found.value();
 }
 
-Flow &FlowTable::insert(const FlowKey &key, UpstreamKey upstream, FlowPhase phase, Milliseconds now)
+Flow &FlowTable::insert(const FlowKey &key, const UpstreamEntry &upstream, FlowPhase phase,
+                        Milliseconds now)
 {
     Flow flow;
-    flow.upstream = upstream;
+    flow.upstream = upstream.key;
     flow.account = m_d->ledger.open(upstream);
     flow.phase = phase;
     flow.openedAt = now;
     flow.lastSeen = now;
+    flow.lastOpeningAt = now;
     m_d->count(flow, 1);
     return m_d->flows.insert_or_assign(key, flow).first.value();
 }
@@ -79,6 +87,7 @@
 {
     m_d->count(flow, -1);
     flow.phase = phase;
+    flow.isCounted = true;
     m_d->count(flow, 1);
 }
 
@@ -86,13 +95,14 @@
 {
     m_d->count(flow, -1);
     flow.isBusy = isBusy;
+    flow.isCounted = true;
     m_d->count(flow, 1);
 }
 
-void FlowTable::move(Flow &flow, UpstreamKey upstream)
+void FlowTable::move(Flow &flow, const UpstreamEntry &upstream)
 {
     m_d->count(flow, -1);
-    flow.upstream = upstream;
+    flow.upstream = upstream.key;
     flow.account = m_d->ledger.open(upstream);
     m_d->count(flow, 1);
 }
@@ -104,11 +114,22 @@
             m_d->count(it->second, -1);
             it = m_d->flows.erase(it);
         } else {
+            stopCounting(it.value(), times, now);
             ++it;
         }
     }
 }
 
+void FlowTable::stopCounting(Flow &flow, const Times &times, Milliseconds now)
+{
+    const bool isInFlight = flow.isBusy || flow.phase == FlowPhase::Opening;
+    if (isInFlight && flow.isCounted && now - Private::inFlightSince(flow) >= times.inFlight) {
+        m_d->count(flow, -1);
+        flow.isCounted = false;
+        m_d->count(flow, 1);
+    }
+}
+
 std::size_t FlowTable::size() const
 {
     return m_d->flows.size();
--- a/src/core/flow/flowtable.h
+++ b/src/core/flow/flowtable.h
@@ -24,6 +24,8 @@
     AccountId account;
     FlowPhase phase = FlowPhase::Opening;
     bool isBusy = false;
+    /// The opening or request under way counts as load of the upstream.
+    bool isCounted = true;
     Milliseconds openedAt;
     Milliseconds lastSeen;
     /// Last time that an opening packet was forwarded.
@@ -47,6 +49,9 @@
         Milliseconds opening = 2_s;
         /// Last acknowledgments of a closed flow still arrive.
         Milliseconds closing = 3_s;
+        /// Openings and requests whose answer nobody has seen for this long do not count as load:
+        /// the rest of the flow may take the way through another balancer.
+        Milliseconds inFlight = 400_ms;
     };
 
     /// Precondition: @p ledger outlives this.
@@ -58,13 +63,14 @@
     /// Returns the flow, or null. The pointer lives until the next insert, erase or tick.
     Flow *find(const FlowKey &key);
     /// Adds a flow. Precondition: there is none with that key.
-    Flow &insert(const FlowKey &key, UpstreamKey upstream, FlowPhase phase, Milliseconds now);
+    Flow &insert(const FlowKey &key, const UpstreamEntry &upstream, FlowPhase phase,
+                 Milliseconds now);
     void erase(const FlowKey &key);
 
     void setPhase(Flow &flow, FlowPhase phase);
     void setBusy(Flow &flow, bool isBusy);
     /// Moves a flow to another upstream.
-    void move(Flow &flow, UpstreamKey upstream);
+    void move(Flow &flow, const UpstreamEntry &upstream);
 
     /// Forgets flows that ended.
     void tick(const Times &times, Milliseconds now);
@@ -72,6 +78,8 @@
     std::size_t size() const;
 
 private:
+    void stopCounting(Flow &flow, const Times &times, Milliseconds now);
+
     struct Private;
     std::unique_ptr<Private> m_d;
 };
--- a/src/core/flow/placement.cpp
+++ b/src/core/flow/placement.cpp
@@ -22,15 +22,13 @@
 /// Age after which an answer time says nothing any more: long flows keep it younger.
 constexpr Milliseconds SampleLifetime = 3_s;
 /// Work per slot that an upstream of another data centre must have less than one of the own.
-constexpr double RemotePenalty = 1.0;
+constexpr double RemotePenalty = 2.0;
 /// Share of the cost that is random, so that balancers with the same view choose differently.
 constexpr double JitterShare = 0.15;
 
 /// Order in which upstreams are considered; a lower class wins whatever the load.
 enum class Suitability : std::uint8_t {
     Good,
-    /// It has as much work of this thread as it should.
-    Full,
     /// Its entry lapsed while the platform was away.
     Unconfirmed,
     /// It left opening packets unanswered.
@@ -52,11 +50,6 @@
 {
 }
 
-bool Placement::isFull(const UpstreamAccount &account)
-{
-    return account.inFlight() + 1 > account.limit;
-}
-
 bool Placement::isSilent(const UpstreamAccount &account, Milliseconds now)
 {
     return account.silentSince && now - *account.silentSince > OpeningPatience;
@@ -72,7 +65,7 @@
     const double load =
             account->busyFlows + account->openingFlows + account->openFlows * ledger.busyPerFlow();
     double factor = 1.0;
-    const double mean = ledger.meanAnswerTime();
+    const double mean = ledger.meanAnswerTime(record.entry.service);
     if (mean > 0 && account->answerTime > 0 && now - account->sampledAt < SampleLifetime) {
         factor = account->answerTime / mean;
     }
@@ -104,8 +97,6 @@
             suitability = Suitability::Silent;
         } else if (record.standing == UpstreamStanding::Unconfirmed) {
             suitability = Suitability::Unconfirmed;
-        } else if (account && isFull(*account)) {
-            suitability = Suitability::Full;
         }
         double price = cost(record, ledger, now);
         if (record.entry.dataCentre != m_dataCentre) {
--- a/src/core/flow/placement.h
+++ b/src/core/flow/placement.h
@@ -21,9 +21,6 @@
                                  ServiceId service, std::optional<UpstreamKey> avoided,
                                  Milliseconds now, const RandomSource &random) const;
 
-    /// Returns true if this thread keeps the upstream as busy as it should.
-    static bool isFull(const UpstreamAccount &account);
-
     /// Returns true if the upstream left an opening packet unanswered for longer than an answer
     /// takes.
     static bool isSilent(const UpstreamAccount &account, Milliseconds now);
--- a/src/core/flow/upstreamledger.cpp
+++ b/src/core/flow/upstreamledger.cpp
@@ -1,7 +1,5 @@
 #include "core/flow/upstreamledger.h"
 
-#include <algorithm>
-
 namespace damaskhall {
 
 namespace {
@@ -12,27 +10,13 @@
 constexpr double MeanAnswerWeight = 0.01;
 /// Weight of one tick in the busy share of a flow: several seconds of ticks.
 constexpr double BusyWeight = 0.02;
-/// Weights of a sample below and above the quick answer time: it settles where few samples are
-/// below, at upstreams without a queue.
-constexpr double QuickWeightBelow = 0.1;
-constexpr double QuickWeightAbove = 0.01;
-/// Requests beyond the slots that a thread sends before it knows how an upstream copes: one waits
-/// at the upstream, so that no slot idles for a round trip.
-constexpr double StartReserve = 1;
-/// An answer this many times slower than a quick one has waited in a queue; service times of one
-/// kind of work rarely spread that far.
-constexpr double QueuedRatio = 3;
-constexpr double LimitDecrease = 0.7;
-constexpr double MinLimit = 1;
-/// Bound of a limit that nothing ever lowers.
-constexpr double MaxLimit = 256;
 
 } // namespace
 
 void UpstreamLedger::handleView(const FlowView &view)
 {
     for (const UpstreamRecord &record : view.upstreams()) {
-        open(record.entry.key, record.entry.slots);
+        open(record.entry);
     }
     for (auto it = m_index.begin(); it != m_index.end();) {
         const UpstreamAccount &account = m_accounts[it->second];
@@ -46,9 +30,9 @@
     }
 }
 
-AccountId UpstreamLedger::open(UpstreamKey key, std::uint32_t slots)
+AccountId UpstreamLedger::open(const UpstreamEntry &entry)
 {
-    const auto [found, isNew] = m_index.try_emplace(key, 0);
+    const auto [found, isNew] = m_index.try_emplace(entry.key, 0);
     if (!isNew) {
         return {found->second};
     }
@@ -60,8 +44,8 @@
         m_free.pop_back();
     }
     m_accounts[found->second] = UpstreamAccount{};
-    m_accounts[found->second].key = key;
-    m_accounts[found->second].limit = slots + StartReserve;
+    m_accounts[found->second].key = entry.key;
+    m_accounts[found->second].service = entry.service;
     return {found->second};
 }
 
@@ -112,29 +96,14 @@
                     ? sample
                     : account.answerTime + AnswerWeight * (sample - account.answerTime);
     account.sampledAt = now;
-    m_meanAnswerTime = m_meanAnswerTime == 0
-                               ? sample
-                               : m_meanAnswerTime + MeanAnswerWeight * (sample - m_meanAnswerTime);
-    const double weight = sample < m_quickAnswerTime ? QuickWeightBelow : QuickWeightAbove;
-    m_quickAnswerTime = m_quickAnswerTime == 0
-                                ? sample
-                                : m_quickAnswerTime + weight * (sample - m_quickAnswerTime);
-    learnLimit(account, sample, now);
+    double &mean = m_meanAnswerTimes[account.service];
+    mean = mean == 0 ? sample : mean + MeanAnswerWeight * (sample - mean);
 }
 
-// Additive increase while the limit is used, multiplicative decrease when answers have waited.
-void UpstreamLedger::learnLimit(UpstreamAccount &account, double sample, Milliseconds now) const
+double UpstreamLedger::meanAnswerTime(ServiceId service) const
 {
-    if (sample > QueuedRatio * m_quickAnswerTime) {
-        // Answers under way reflect the limit before; one decrease for them is enough.
-        const auto spacing = static_cast<std::int64_t>(sample);
-        if (now - account.loweredAt >= Milliseconds{spacing}) {
-            account.limit = std::max(MinLimit, account.limit * LimitDecrease);
-            account.loweredAt = now;
-        }
-    } else if (account.inFlight() + 1 >= account.limit) {
-        account.limit = std::min(MaxLimit, account.limit + 1 / account.limit);
-    }
+    const auto found = m_meanAnswerTimes.find(service);
+    return found == m_meanAnswerTimes.end() ? 0 : found->second;
 }
 
 void UpstreamLedger::tick(Milliseconds)
--- a/src/core/flow/upstreamledger.h
+++ b/src/core/flow/upstreamledger.h
@@ -16,11 +16,12 @@
 struct UpstreamAccount
 {
     UpstreamKey key;
+    ServiceId service;
     /// Flows that were opened and not closed.
     std::uint32_t openFlows = 0;
-    /// Flows with a request that has no answer yet.
+    /// Flows with a recent request that has no answer yet.
     std::uint32_t busyFlows = 0;
-    /// Flows whose opening packet has no answer yet.
+    /// Flows with a recent opening packet that has no answer yet.
     std::uint32_t openingFlows = 0;
     /// Time of the first opening packet since which the upstream gave no sign of life.
     std::optional<Milliseconds> silentSince;
@@ -34,10 +35,6 @@
     /// Smoothed time from request to answer in milliseconds; zero: no sample yet.
     double answerTime = 0;
     Milliseconds sampledAt;
-    /// Requests that this thread sends there at the same time before others wait. Learned, since
-    /// other balancers use the same upstream.
-    double limit = 0;
-    Milliseconds loweredAt;
 
     std::uint32_t inFlight() const { return busyFlows + openingFlows; }
 };
@@ -50,9 +47,8 @@
     /// no flow.
     void handleView(const FlowView &view);
 
-    /// Returns the account, opening it if needed. @p slots: requests that the upstream works on at
-    /// the same time.
-    AccountId open(UpstreamKey key, std::uint32_t slots = 1);
+    /// Returns the account of an upstream, opening it if needed.
+    AccountId open(const UpstreamEntry &entry);
     UpstreamAccount &at(AccountId id) { return m_accounts[id.value]; }
     const UpstreamAccount &at(AccountId id) const { return m_accounts[id.value]; }
     /// Returns the account, or null.
@@ -72,21 +68,17 @@
 
     /// Mean part of a slot that an open flow keeps busy.
     double busyPerFlow() const { return m_busyPerFlow; }
-    /// Mean time from request to answer over all upstreams in milliseconds; zero: unknown.
-    double meanAnswerTime() const { return m_meanAnswerTime; }
-    /// Time from request to answer at an upstream without a queue in milliseconds; zero: unknown.
-    double quickAnswerTime() const { return m_quickAnswerTime; }
+    /// Returns the mean time from request to answer over all upstreams of a service in
+    /// milliseconds; zero: unknown.
+    double meanAnswerTime(ServiceId service) const;
 
 private:
-    void learnLimit(UpstreamAccount &account, double sample, Milliseconds now) const;
-
     std::vector<UpstreamAccount> m_accounts;
     std::vector<std::uint32_t> m_free;
     std::unordered_map<UpstreamKey, std::uint32_t> m_index;
     /// Until it is measured: idle flows must count, or they gather at one upstream.
     double m_busyPerFlow = 0.05;
-    double m_meanAnswerTime = 0;
-    double m_quickAnswerTime = 0;
+    std::unordered_map<ServiceId, double> m_meanAnswerTimes;
 };
 
 } // namespace damaskhall
--- a/src/forwarder/flowworker.cpp
+++ b/src/forwarder/flowworker.cpp
@@ -9,7 +9,6 @@
 #include <deque>
 #include <mutex>
 #include <thread>
-#include <unordered_map>
 #include <utility>
 
 namespace damaskhall {
@@ -74,7 +73,6 @@
             return;
         }
         carryOut(datagram, *packet, router.handlePacket(*packet, now), now);
-        releaseWaiting(now);
     }
 
     void carryOut(std::string_view datagram, const FlowPacket &packet, const FlowDecision &decision,
@@ -82,9 +80,6 @@
     {
         switch (decision.action) {
         case FlowAction::Forward:
-            if (packet.isOpening && !waiting.empty()) {
-                waiting.erase(packet.key);
-            }
             format.writeForwarded(datagram, decision, port->prepare(decision.endpoint));
             return;
         case FlowAction::Reset:
@@ -92,33 +87,15 @@
                               port->prepare({packet.key.client.address, options.listen.port}));
             return;
         case FlowAction::Hold:
-            hold(packet, decision, datagram, now);
+            hold(datagram, now);
             return;
         case FlowAction::Drop:
             return;
         }
     }
 
-    void releaseWaiting(Milliseconds now)
+    void hold(std::string_view datagram, Milliseconds now)
     {
-        for (const ReleasedPacket &released : router.takeReleased(now)) {
-            const auto found = waiting.find(released.packet.key);
-            if (found != waiting.end()) {
-                const std::string datagram = std::move(found->second);
-                waiting.erase(found);
-                carryOut(datagram, released.packet, released.decision, now);
-            }
-        }
-    }
-
-    void hold(const FlowPacket &packet, const FlowDecision &decision, std::string_view datagram,
-              Milliseconds now)
-    {
-        if (decision.reason == FlowReason::Waiting) {
-            // The router bounds the number and decides about each.
-            waiting[packet.key] = datagram;
-            return;
-        }
         if (held.size() >= MaxHeldPackets) {
             ++counts.heldTooMany;
             return;
@@ -142,8 +119,6 @@
     {
         const Milliseconds now = clock.now();
         router.tick(now);
-        releaseWaiting(now);
-        port->flush();
         {
             const std::lock_guard lock(mutex);
             published = counts;
@@ -166,8 +141,6 @@
     asio::steady_timer timer;
     std::unique_ptr<UdpPort> port;
     std::deque<HeldPacket> held;
-    /// Openings for which the router has no room yet.
-    std::unordered_map<FlowKey, std::string> waiting;
     std::thread thread;
     std::atomic<std::int64_t> lastPacketAt{0};
     mutable std::mutex mutex;
