Replay load patterns in an emulator of flows

Cause: decisions about placement had no test that replays the load that they answer. Change: tests/core/flow/loadpatterns_test.cpp replays seven patterns on fakes/flowfleet with ten seeds each; bounds are targets stated for each pattern. The linter covers platform/.

--- a/tests/core/flow/loadpatterns_test.cpp
+++ b/tests/core/flow/loadpatterns_test.cpp
@@ -1,15 +1,16 @@
 #include "fakes/flowfleet.h"
 
-#include "support/flowfixture.h"
-
 #include <gtest/gtest.h>
-#include <iostream>
 
 namespace damaskhall::fakes {
 namespace {
 
 constexpr ServiceId BoardService{10};
+constexpr int Seeds = 10;
+constexpr Milliseconds Trouble = 10_s;
 
+// Three data centres of five upstreams with two slots each, at 45% load: feeds on long flows and
+// claims on a flow each. The shares are targets of docs/overload.md.
 FlowFleetOptions workshop(std::uint64_t seed)
 {
     FlowFleetOptions options;
@@ -21,89 +22,97 @@
     return options;
 }
 
-TEST(LoadPatterns, Explore)
+// Replays one load pattern with several seeds and adds up what became of the requests.
+class LoadPatterns : public ::testing::Test
 {
-    int asked = 0, inTime = 0, late = 0, failed = 0, sheds = 0;
-    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-        FlowFleet fleet(workshop(seed));
-        fleet.runUntil(10_s);
-        fleet.loseAllBalancers(1400_ms, 400_ms);
-        fleet.runUntil(16_s);
-        const auto all = fleet.outcome("", 11400_ms, 13400_ms);
-        asked += all.asked;
-        inTime += all.inTime;
-        late += all.late;
-        failed += all.failed;
-        sheds += all.sheds;
-    }
-    std::cout << "outage: asked " << asked << " in time " << inTime << " late " << late
-              << " failed " << failed << " sheds " << sheds << "\n";
-    asked = inTime = late = failed = sheds = 0;
-    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-        FlowFleet fleet(workshop(seed));
-        fleet.runUntil(10_s);
-        for (int dc = 0; dc < 3; ++dc)
-            fleet.scaleLoad(dc, 2.6);
-        fleet.runUntil(15_s);
-        for (int dc = 0; dc < 3; ++dc)
-            fleet.scaleLoad(dc, 1);
-        fleet.runUntil(20_s);
-        const auto all = fleet.outcome("", 10_s, 17_s);
-        asked += all.asked;
-        inTime += all.inTime;
-        late += all.late;
-        failed += all.failed;
-        sheds += all.sheds;
-    }
-    std::cout << "burst: asked " << asked << " in time " << inTime << " late " << late << " failed "
-              << failed << " sheds " << sheds << "\n";
-    asked = inTime = late = failed = sheds = 0;
-    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-        FlowFleet fleet(workshop(seed));
-        fleet.runUntil(10_s);
-        fleet.slowUpstreams(1, 6);
-        fleet.runUntil(20_s);
-        const auto all = fleet.outcome("", 10_s, 17_s);
-        asked += all.asked;
-        inTime += all.inTime;
-        late += all.late;
-        failed += all.failed;
-        sheds += all.sheds;
-    }
-    std::cout << "slow: asked " << asked << " in time " << inTime << " late " << late << " failed "
-              << failed << " sheds " << sheds << "\n";
-    asked = inTime = late = failed = sheds = 0;
-    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-        FlowFleet fleet(workshop(seed));
-        fleet.runUntil(10_s);
-        fleet.silenceUpstreams(1, 4_s);
-        fleet.runUntil(20_s);
-        const auto all = fleet.outcome("", 10_s, 17_s);
-        asked += all.asked;
-        inTime += all.inTime;
-        late += all.late;
-        failed += all.failed;
-        sheds += all.sheds;
+protected:
+    template <typename Start>
+    void replay(Start start, Milliseconds until = 18_s)
+    {
+        for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+            m_fleets.push_back(std::make_unique<FlowFleet>(workshop(seed)));
+            FlowFleet &fleet = *m_fleets.back();
+            fleet.runUntil(Trouble);
+            start(fleet);
+            fleet.runUntil(until);
+        }
     }
-    std::cout << "silent: asked " << asked << " in time " << inTime << " late " << late
-              << " failed " << failed << " sheds " << sheds << "\n";
-    asked = inTime = late = failed = sheds = 0;
-    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-        FlowFleet fleet(workshop(seed));
-        fleet.runUntil(10_s);
-        fleet.scaleLoad(0, 2.5);
-        fleet.scaleLoad(1, 0.4);
-        fleet.scaleLoad(2, 0.4);
-        fleet.runUntil(20_s);
-        const auto all = fleet.outcome("", 11_s, 17_s);
-        asked += all.asked;
-        inTime += all.inTime;
-        late += all.late;
-        failed += all.failed;
-        sheds += all.sheds;
+
+    FlowOutcome outcome(const std::string &load, Milliseconds from, Milliseconds until) const
+    {
+        FlowOutcome sum;
+        for (const auto &fleet : m_fleets) {
+            const FlowOutcome one = fleet->outcome(load, from, until);
+            sum.asked += one.asked;
+            sum.inTime += one.inTime;
+            sum.late += one.late;
+            sum.failed += one.failed;
+            sum.sheds += one.sheds;
+        }
+        return sum;
     }
-    std::cout << "shift: asked " << asked << " in time " << inTime << " late " << late << " failed "
-              << failed << " sheds " << sheds << "\n";
+
+private:
+    std::vector<std::unique_ptr<FlowFleet>> m_fleets;
+};
+
+// Guards against a policy that harms ordinary days.
+TEST_F(LoadPatterns, QuietDay)
+{
+    replay([](FlowFleet &) {});
+    EXPECT_GE(outcome("", 2_s, 16_s).shareInTime(), 0.99);
+}
+
+// Guards against a backlog that makes fresh work late long after an outage of all balancers.
+TEST_F(LoadPatterns, ReturnAfterOutage)
+{
+    replay([](FlowFleet &fleet) { fleet.loseAllBalancers(1400_ms, 400_ms); });
+    // The last balancer is back after 1.8 s; upstream queues drain within a second.
+    EXPECT_GE(outcome("", Trouble + 2800_ms, 16_s).shareInTime(), 0.98);
+}
+
+// Guards against new flows that join the queues of upstreams that have become slow.
+TEST_F(LoadPatterns, SlowUpstreams)
+{
+    replay([](FlowFleet &fleet) { fleet.slowUpstreams(1, 6); });
+    EXPECT_GE(outcome("claim", Trouble + 1_s, 17_s).shareInTime(), 0.95);
+    EXPECT_EQ(outcome("", Trouble, 16_s).failed, 0);
+}
+
+// Guards against new flows that run into upstreams that answer nothing, before anybody says so.
+TEST_F(LoadPatterns, SilentUpstreams)
+{
+    replay([](FlowFleet &fleet) { fleet.silenceUpstreams(1, 4_s); });
+    EXPECT_GE(outcome("claim", Trouble + 1_s, 17_s).shareInTime(), 0.95);
+}
+
+// Guards against a data centre that drowns while others have room.
+TEST_F(LoadPatterns, LoadShiftsToOneDataCentre)
+{
+    replay([](FlowFleet &fleet) {
+        fleet.scaleLoad(0, 2.0);
+        fleet.scaleLoad(1, 0.5);
+        fleet.scaleLoad(2, 0.5);
+    });
+    EXPECT_GE(outcome("", Trouble + 1_s, 17_s).shareInTime(), 0.95);
+}
+
+// Guards against a rush on upstreams that are new, empty and slow.
+TEST_F(LoadPatterns, UpstreamsAreReplacedOneAfterTheOther)
+{
+    replay([](FlowFleet &fleet) { fleet.replaceUpstreams(3, 1_s, 2_s, 1.6); });
+    EXPECT_GE(outcome("", Trouble, 17_s).shareInTime(), 0.97);
+}
+
+// Guards against useful work that breaks down at a load near all capacity.
+TEST_F(LoadPatterns, Burst)
+{
+    replay([](FlowFleet &fleet) {
+        for (int dataCentre = 0; dataCentre < 3; ++dataCentre) {
+            fleet.scaleLoad(dataCentre, 2.0);
+        }
+    });
+    EXPECT_GE(outcome("", Trouble, 17_s).shareInTime(), 0.9);
 }
 
 } // namespace
--- a/tests/io/httpchannel_test.cpp
+++ b/tests/io/httpchannel_test.cpp
@@ -20,7 +20,7 @@
     {
         std::optional<Result<HttpChannelReply>> result;
         target.request({"GET", "/path?x=1", {}}, timeout,
-                        [&](Result<HttpChannelReply> reply) { result = std::move(reply); });
+                       [&](Result<HttpChannelReply> reply) { result = std::move(reply); });
         context.restart();
         while (!result && context.run_one_for(std::chrono::seconds(5)) > 0) {
         }
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -17,5 +17,5 @@
     clang-tidy -p "$build" --quiet "$file" 2>/dev/null && touch "$cache/$key"
 }
 export -f check
-git ls-files 'src/*.cpp' 'standins/*.cpp' 'fakes/*.cpp' 'measure/*.cpp' | xargs -r -P "${LINT_JOBS:-8}" -I{} bash -c 'check {}'
+git ls-files 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'fakes/*.cpp' 'measure/*.cpp' | xargs -r -P "${LINT_JOBS:-8}" -I{} bash -c 'check {}'
 echo "lint: clean"
