Let two forwarders of a region read the store for all

Change: PeerController finds the members with the existing MembershipController (seeds, gossip) and spreads what the two readers learn in a tree of fan-out four. A follower whose news stays away for 1.25 to 1.75 paces, or does not connect to what it knows, reads the store itself; a declaration is fetched by version. Nothing but the number of calls depends on the peers.

--- a/fakes/flowfleet.cpp
+++ b/fakes/flowfleet.cpp
@@ -195,7 +195,7 @@
     Milliseconds exponential(double mean) const
     {
         const double value = -mean * std::log(1.0 - randomUnit(random));
-        return {static_cast<std::int64_t>(std::min(value, mean * 8) + 0.5)};
+        return {std::llround(std::min(value, mean * 8))};
     }
 
     void scheduleArrival(int dc, std::size_t load)
@@ -440,7 +440,7 @@
         if (events.now() < upstream.coldUntil) {
             time *= upstream.coldFactor;
         }
-        const auto duration = Milliseconds{static_cast<std::int64_t>(time + 0.5)};
+        const auto duration = Milliseconds{std::llround(time)};
         events.schedule(events.now() + duration, [this, index, job] {
             Upstream &done = upstreams[index];
             --done.busy;
--- a/src/config/forwardersettings.cpp
+++ b/src/config/forwardersettings.cpp
@@ -52,6 +52,7 @@
     return {
             nameField("name", &ForwarderSettings::name),
             nameField("data_centre", &ForwarderSettings::dataCentre),
+            nameField("region", &ForwarderSettings::region),
             endpointField("listen", true, &ForwarderSettings::listen),
             endpointField("status_listen", true, &ForwarderSettings::statusListen),
             endpointField("peer_listen", false, &ForwarderSettings::peerListen),
--- a/src/config/forwardersettings.h
+++ b/src/config/forwardersettings.h
@@ -17,11 +17,13 @@
     /// Name of the instance in logs.
     std::string name;
     std::string dataCentre;
+    /// Data centres that are near each other; their forwarders share the reading of the store.
+    std::string region;
     /// UDP: packets of clients and to upstreams.
     Endpoint listen;
     /// TCP: readiness and metrics.
     Endpoint statusListen;
-    /// UDP: other forwarders; null: none.
+    /// UDP: other forwarders; null: this one reads the store alone.
     Endpoint peerListen;
     /// Peer sockets of instances to ask first; may be out of date.
     std::vector<Endpoint> seeds;
--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -20,12 +20,16 @@
         m_listed.clear();
         m_listRevision = {};
     }
+    if (call) {
+        m_pending = call->kind;
+    }
     return call;
 }
 
 void FlowController::handleReply(const StoreReply &reply, Milliseconds now)
 {
-    const bool isList = !m_reader.isFollowing();
+    const bool isList = m_pending == StoreCall::Kind::List;
+    const bool isDeclaration = m_pending == StoreCall::Kind::Declaration;
     m_reader.handleEnd(reply.outcome, reply.asOf, reply.nextPage, now);
     reportStoreChange(reply, now);
     if (reply.outcome != StoreOutcome::Done) {
@@ -37,10 +41,14 @@
             m_listed.push_back(entry->key.id);
         }
     }
+    m_hasNews = m_hasNews || !isDeclaration;
     if (isList) {
         m_listRevision = m_listRevision == Revision{} ? reply.asOf : m_listRevision;
         if (!reply.nextPage) {
             m_directory.handleListEnd(std::exchange(m_listed, {}), m_listRevision, now);
+            // What a list removed is not known change by change.
+            m_recent.clear();
+            m_recentFrom = m_listRevision;
         }
     }
 }
@@ -51,6 +59,7 @@
     if (const auto *entry = std::get_if<UpstreamEntry>(&change.content)) {
         m_directory.handleEntry(*entry, change.revision, now);
         if (m_directory.version() != version) {
+            remember(change);
             m_hooks.reportUpstream(m_directory.record(entry->key), change.revision);
         }
         return;
@@ -62,6 +71,7 @@
         const auto key = m_directory.present(removal->id);
         m_directory.handleRemoval(removal->id, change.revision, now);
         if (key && m_directory.version() != version) {
+            remember(change);
             m_hooks.reportUpstream(m_directory.record(*key), change.revision);
         }
         return;
@@ -80,10 +90,50 @@
         return;
     }
     m_routes = declared.table;
+    m_reader.setDeclaration(m_routes->revision);
     m_isChanged = true;
     m_hooks.reportDeclaration(*m_routes);
 }
 
+void FlowController::remember(const StoreChange &change)
+{
+    m_recent.push_back(change);
+    if (m_recent.size() > MaxNewsChanges) {
+        m_recentFrom = std::max(m_recentFrom, m_recent.front().revision);
+        m_recent.pop_front();
+    }
+}
+
+void FlowController::handleNews(const DirectoryNews &news, Milliseconds now)
+{
+    m_reader.wantDeclaration(news.declaration);
+    if (!m_reader.isFollowing() || news.to < m_reader.revision()) {
+        return;
+    }
+    if (m_reader.revision() < news.from) {
+        m_reader.readSoon(now);
+        return;
+    }
+    for (const StoreChange &change : news.changes) {
+        take(change, now);
+    }
+    m_reader.handleNews(news.to, now - news.age);
+}
+
+std::optional<DirectoryNews> FlowController::takeNews(Milliseconds now)
+{
+    if (!std::exchange(m_hasNews, false) || !m_reader.isFollowing()) {
+        return std::nullopt;
+    }
+    DirectoryNews news;
+    news.age = now - m_reader.confirmedAt().value_or(now);
+    news.from = m_recentFrom;
+    news.to = m_reader.revision();
+    news.declaration = revision();
+    news.changes.assign(m_recent.begin(), m_recent.end());
+    return news;
+}
+
 void FlowController::reportStoreChange(const StoreReply &reply, Milliseconds now)
 {
     const bool isAway = m_reader.isAway();
--- a/src/core/flow/flowcontroller.h
+++ b/src/core/flow/flowcontroller.h
@@ -1,41 +1,19 @@
 #pragma once
 
+#include "core/flow/directorynews.h"
 #include "core/flow/flowview.h"
 #include "core/flow/storereader.h"
 #include "core/flow/upstreamdirectory.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
-#include <variant>
 #include <vector>
 
 namespace damaskhall {
 
-/// The entry of an upstream was removed, or can no longer be read.
-struct UpstreamRemoval
-{
-    UpstreamId id;
-    /// Empty: removed. Otherwise why the entry cannot be read.
-    std::string mistake;
-};
-
-/// The declaration, or why the stored one cannot be read.
-struct DeclaredRoutes
-{
-    /// Null if it cannot be read.
-    std::shared_ptr<const RouteTable> table;
-    std::string mistake;
-};
-
-/// An item of the store as it was written at a revision.
-struct StoreChange
-{
-    Revision revision;
-    std::variant<UpstreamEntry, UpstreamRemoval, DeclaredRoutes> content;
-};
-
 /// Answer to a StoreCall. Thread safety: a plain value.
 struct StoreReply
 {
@@ -77,6 +55,13 @@
     /// Returns the store call that is due, or nothing.
     std::optional<StoreCall> nextCall(Milliseconds now);
     void handleReply(const StoreReply &reply, Milliseconds now);
+    /// Takes what a peer read. News that does not connect to what is known leads to a read.
+    void handleNews(const DirectoryNews &news, Milliseconds now);
+    /// Sets whether this instance reads the store for others. One that does not reads only if
+    /// their news stays away.
+    void setReader(bool isReader) { m_reader.setFollower(!isReader); }
+    /// Returns what the last answer of the store changed or confirmed, once, or nothing.
+    std::optional<DirectoryNews> takeNews(Milliseconds now);
     void tick(Milliseconds now);
 
     /// Returns a new view if anything changed since the last one, or null.
@@ -93,6 +78,7 @@
     void takeDeclaration(const DeclaredRoutes &declared, Revision revision);
     void reportStoreChange(const StoreReply &reply, Milliseconds now);
     bool isCurrent(Milliseconds now) const;
+    void remember(const StoreChange &change);
 
     Times m_times;
     FlowControlHooks m_hooks;
@@ -102,10 +88,15 @@
     /// Ids seen on the pages of the list under way.
     std::vector<UpstreamId> m_listed;
     Revision m_listRevision;
+    StoreCall::Kind m_pending = StoreCall::Kind::List;
     bool m_wasAway = false;
     bool m_isChanged = false;
     bool m_wasCurrent = false;
     std::uint64_t m_viewVersion = 0;
+    /// Latest changes of upstreams; all after m_recentFrom.
+    std::deque<StoreChange> m_recent;
+    Revision m_recentFrom;
+    bool m_hasNews = false;
 };
 
 } // namespace damaskhall
--- a/src/core/flow/flowview.cpp
+++ b/src/core/flow/flowview.cpp
@@ -84,9 +84,9 @@
 
 const std::vector<std::uint32_t> &FlowView::candidates(ServiceId service) const
 {
-    static const std::vector<std::uint32_t> None;
+    static const std::vector<std::uint32_t> none;
     const auto found = m_candidates.find(service);
-    return found == m_candidates.end() ? None : found->second;
+    return found == m_candidates.end() ? none : found->second;
 }
 
 } // namespace damaskhall
--- /dev/null
+++ b/src/core/flow/peercontroller.cpp
@@ -0,0 +1,162 @@
+#include "core/flow/peercontroller.h"
+
+#include "core/rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace damaskhall {
+
+namespace {
+
+/// Members that each member of the tree sends news to: 500 members are five hops deep.
+constexpr std::size_t TreeFanOut = 4;
+/// Members that get an update about members at once.
+constexpr std::size_t AnnounceFanOut = 3;
+/// Shortest time between two lists of all members to peers that know others. Updates spread in
+/// well under a second, so a difference that is seen once in this time may be lasting.
+constexpr Milliseconds SnapshotInterval = 3_s;
+/// Time after which news with a lower sequence number comes from a restarted origin whose time of
+/// day is behind, not from a detour.
+constexpr Milliseconds DetourLimit = 2_s;
+
+} // namespace
+
+PeerController::PeerController(const MemberUpdate &self, DataCentreId region,
+                               std::vector<Endpoint> seeds, const ControlHooks &hooks)
+    : m_region(region)
+    , m_members(self, std::move(seeds), hooks)
+    , m_sequence(self.incarnation.value)
+{
+}
+
+PeerActions PeerController::tick(Milliseconds now)
+{
+    ControlActions actions;
+    m_members.tick(now, actions);
+    return complete(actions);
+}
+
+PeerActions PeerController::handleDatagram(const ControlDatagram &datagram, Endpoint from,
+                                           Milliseconds now)
+{
+    if (datagram.gossip.dataCentre != m_region) {
+        return {};
+    }
+    const MemberUpdate &sender = datagram.gossip.sender;
+    const MemberUpdate *known = m_members.find(sender.id);
+    const bool isNew = !known || known->incarnation < sender.incarnation;
+    ControlActions actions;
+    m_members.handle(datagram, from, now, actions);
+    PeerActions output = complete(actions);
+    const bool differs = datagram.gossip.digest != m_members.digest();
+    if (isNew || (differs && now >= m_nextSnapshot)) {
+        m_nextSnapshot = now + SnapshotInterval;
+        sendSnapshot(sender, from, output);
+    }
+    return output;
+}
+
+void PeerController::sendSnapshot(const MemberUpdate &peer, Endpoint to, PeerActions &output) const
+{
+    std::vector<MemberUpdate> members = m_members.snapshot();
+    std::erase_if(members, [&](const MemberUpdate &member) {
+        return member.id == peer.id || member.state == MemberState::Dead;
+    });
+    for (std::size_t begin = 0; begin < members.size(); begin += MaxMemberUpdates) {
+        Gossip gossip;
+        gossip.dataCentre = m_region;
+        gossip.sender = m_members.self();
+        gossip.digest = m_members.digest();
+        const std::size_t end = std::min(members.size(), begin + MaxMemberUpdates);
+        gossip.members.assign(members.begin() + static_cast<std::ptrdiff_t>(begin),
+                              members.begin() + static_cast<std::ptrdiff_t>(end));
+        output.datagrams.push_back({to, peer.id, {gossip, Announce{}}});
+    }
+}
+
+// Fills in what all datagrams carry and announces updates about members.
+PeerActions PeerController::complete(const ControlActions &actions)
+{
+    PeerActions output;
+    for (const ControlAction &action : actions) {
+        if (const auto *send = std::get_if<SendDatagram>(&action)) {
+            output.datagrams.push_back(*send);
+            output.datagrams.back().datagram.gossip = makeGossip(send->receiver);
+        }
+    }
+    while (m_members.updates().hasFresh()) {
+        Gossip gossip = makeGossip({});
+        gossip.members = m_members.updates().takeFresh(MaxMemberUpdates);
+        for (const MemberUpdate &peer : m_members.randomPeers(AnnounceFanOut)) {
+            output.datagrams.push_back({peer.control, peer.id, {gossip, Announce{}}});
+        }
+    }
+    return output;
+}
+
+Gossip PeerController::makeGossip(InstanceId receiver)
+{
+    Gossip gossip;
+    gossip.dataCentre = m_region;
+    gossip.sender = m_members.self();
+    gossip.digest = m_members.digest();
+    // A suspected or dead receiver gets this update in any case: only it can refute.
+    const MemberUpdate *known = m_members.find(receiver);
+    if (known && (known->state == MemberState::Suspect || known->state == MemberState::Dead)) {
+        gossip.members.push_back(*known);
+    }
+    const auto members = m_members.updates().take(MaxMemberUpdates - gossip.members.size());
+    gossip.members.insert(gossip.members.end(), members.begin(), members.end());
+    return gossip;
+}
+
+PeerActions PeerController::publish(DirectoryNews news)
+{
+    news.origin = m_members.self().id;
+    news.sequence = ++m_sequence;
+    return spread(news);
+}
+
+PeerActions PeerController::passOn(const DirectoryNews &news, Milliseconds now)
+{
+    Passed &passed = m_passed[news.origin];
+    if (news.sequence <= passed.sequence && now - passed.at < DetourLimit) {
+        return {};
+    }
+    passed = {news.sequence, now};
+    return spread(news);
+}
+
+PeerActions PeerController::spread(const DirectoryNews &news) const
+{
+    std::vector<InstanceId> others;
+    for (const MemberView &member : m_members.views()) {
+        if (member.id != news.origin) {
+            others.push_back(member.id);
+        }
+    }
+    std::vector<InstanceId> order = {news.origin};
+    const auto sorted = rendezvousOrder(news.origin.value, std::move(others));
+    order.insert(order.end(), sorted.begin(), sorted.end());
+    const auto own = std::find(order.begin(), order.end(), m_members.self().id);
+    const auto position = static_cast<std::size_t>(own - order.begin());
+    PeerActions actions;
+    for (std::size_t child = 1; child <= TreeFanOut; ++child) {
+        const std::size_t index = position * TreeFanOut + child;
+        if (index >= order.size()) {
+            break;
+        }
+        if (const MemberUpdate *peer = m_members.find(order[index])) {
+            actions.news.push_back({peer->control, news});
+        }
+    }
+    return actions;
+}
+
+void PeerController::beginLeaving()
+{
+    m_members.beginLeaving();
+}
+
+} // namespace damaskhall
--- /dev/null
+++ b/src/core/flow/peercontroller.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "core/control/membershipcontroller.h"
+#include "core/flow/directorynews.h"
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace damaskhall {
+
+/// News for a peer.
+struct SendNews
+{
+    Endpoint to;
+    DirectoryNews news;
+};
+
+/// Output of one step, in order.
+struct PeerActions
+{
+    std::vector<SendDatagram> datagrams;
+    std::vector<SendNews> news;
+};
+
+/// Forwarders of one region: who is there, who reads the platform's store for all, and how the
+/// readers' news reaches the others. Nothing depends on it but the number of store calls: an
+/// instance without news reads the store itself.
+///
+/// News spreads in a tree whose root is the reader and whose order every member works out alone,
+/// so each member sends a few datagrams whatever the size of the region.
+/// Deterministic. Thread safety: none.
+class PeerController
+{
+public:
+    /// @p seeds: peer endpoints to try first. Precondition: all hooks are set.
+    PeerController(const MemberUpdate &self, DataCentreId region, std::vector<Endpoint> seeds,
+                   const ControlHooks &hooks);
+
+    PeerActions tick(Milliseconds now);
+    PeerActions handleDatagram(const ControlDatagram &datagram, Endpoint from, Milliseconds now);
+    /// Sends news of this instance.
+    PeerActions publish(DirectoryNews news);
+    /// Passes on news of another instance, each once, as views of the tree may differ for a while.
+    PeerActions passOn(const DirectoryNews &news, Milliseconds now);
+    void beginLeaving();
+
+    /// True if this instance reads for the region.
+    bool isReader() const { return m_members.isReader(); }
+    /// Members that are not dead, without the own.
+    std::size_t peerCount() const { return m_members.peerCount(); }
+
+private:
+    /// Last news of an origin.
+    struct Passed
+    {
+        std::uint64_t sequence = 0;
+        Milliseconds at;
+    };
+
+    PeerActions spread(const DirectoryNews &news) const;
+    void sendSnapshot(const MemberUpdate &peer, Endpoint to, PeerActions &output) const;
+    PeerActions complete(const ControlActions &actions);
+    Gossip makeGossip(InstanceId receiver);
+
+    DataCentreId m_region;
+    MembershipController m_members;
+    Milliseconds m_nextSnapshot;
+    std::uint64_t m_sequence = 0;
+    std::unordered_map<InstanceId, Passed> m_passed;
+};
+
+} // namespace damaskhall
--- a/src/core/flow/storereader.cpp
+++ b/src/core/flow/storereader.cpp
@@ -12,6 +12,10 @@
 /// Keeps the time from the store's return to the first read below a second.
 constexpr Milliseconds MaxRetryDelay = 800_ms;
 constexpr std::uint32_t MaxDoublings = 3;
+/// A follower reads when the last confirmation is older than this many paces, up to one half more:
+/// two readers confirm once a pace each, so their news has failed to come several times by then.
+constexpr double FollowerPatience = 1.25;
+constexpr double PatienceSpread = 0.5;
 
 } // namespace
 
@@ -34,6 +38,7 @@
     : m_times(times)
     , m_random(std::move(random))
 {
+    m_patience = FollowerPatience + PatienceSpread * randomUnit(m_random);
 }
 
 std::optional<StoreCall> StoreReader::next(Milliseconds now)
@@ -41,10 +46,18 @@
     if (m_isPending || now < m_due) {
         return std::nullopt;
     }
+    StoreCall call;
+    const bool isDeclarationDue = m_isFollowing && m_wantedDeclaration > m_declaration;
+    if (!isDeclarationDue && isLeftToOthers(now)) {
+        return std::nullopt;
+    }
     m_isPending = true;
     m_startedAt = now;
-    StoreCall call;
-    if (m_isFollowing) {
+    if (isDeclarationDue) {
+        call.kind = StoreCall::Kind::Declaration;
+        call.mayBeOld = !m_wasOldDeclaration;
+        m_wasOldDeclaration = true;
+    } else if (m_isFollowing) {
         call.kind = StoreCall::Kind::Watch;
         call.after = m_after;
         call.wait = m_times.wait;
@@ -68,14 +81,20 @@
         return;
     }
     m_failures = 0;
-    m_confirmedAt = now;
     m_due = now;
+    if (m_kind != StoreCall::Kind::Declaration) {
+        m_confirmedAt = now;
+    }
     if (outcome == StoreOutcome::HistoryLost) {
         m_isFollowing = false;
         m_listRevision.reset();
         m_page.clear();
         return;
     }
+    if (m_kind == StoreCall::Kind::Declaration) {
+        return;
+    }
+    m_isImpatient = false;
     if (m_kind == StoreCall::Kind::Watch) {
         m_after = std::max(m_after, asOf);
         m_due = std::max(now, m_startedAt + m_times.pace);
@@ -92,4 +111,27 @@
     m_page.clear();
 }
 
+bool StoreReader::isLeftToOthers(Milliseconds now) const
+{
+    if (!m_isFollower || !m_isFollowing || m_isImpatient || !m_confirmedAt) {
+        return false;
+    }
+    const double patience = m_patience * static_cast<double>(m_times.pace.value);
+    return static_cast<double>((now - *m_confirmedAt).value) < patience;
+}
+
+void StoreReader::handleNews(Revision asOf, Milliseconds confirmedAt)
+{
+    m_after = std::max(m_after, asOf);
+    m_confirmedAt = std::max(m_confirmedAt.value_or(confirmedAt), confirmedAt);
+}
+
+void StoreReader::wantDeclaration(Revision revision)
+{
+    if (revision > m_wantedDeclaration) {
+        m_wantedDeclaration = revision;
+        m_wasOldDeclaration = false;
+    }
+}
+
 } // namespace damaskhall
--- a/src/core/flow/storereader.h
+++ b/src/core/flow/storereader.h
@@ -4,6 +4,7 @@
 #include "base/milliseconds.h"
 #include "base/random.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,6 +19,8 @@
         List,
         /// Changes since a revision; waits for one.
         Watch,
+        /// The declaration alone.
+        Declaration,
     };
 
     Kind kind = Kind::List;
@@ -27,6 +30,8 @@
     Revision after;
     /// Watch: longest time that the store waits for a change.
     Milliseconds wait;
+    /// Declaration: an older one will do, which costs the store less.
+    bool mayBeOld = false;
 };
 
 /// How a read ended.
@@ -66,7 +71,23 @@
     void handleEnd(StoreOutcome outcome, Revision asOf, std::optional<std::string> nextPage,
                    Milliseconds now);
 
-    void setTimes(Times times) { m_times = times; }
+    /// Takes what a peer read: everything up to @p asOf is known, as the store confirmed at
+    /// @p confirmedAt.
+    void handleNews(Revision asOf, Milliseconds confirmedAt);
+    /// A follower leaves reading to others while their news is recent.
+    void setFollower(bool isFollower) { m_isFollower = isFollower; }
+    /// Makes the next watch due at once.
+    void readSoon(Milliseconds now)
+    {
+        m_due = std::min(m_due, now);
+        m_isImpatient = true;
+    }
+    /// Asks for the declaration until @p revision or a newer one is in force.
+    void wantDeclaration(Revision revision);
+    /// Tells which declaration is in force.
+    void setDeclaration(Revision revision) { m_declaration = revision; }
+    /// Revision up to which all changes are known.
+    Revision revision() const { return m_after; }
     /// True while the store does not answer.
     bool isAway() const { return m_failures > 0; }
     /// Time of the last answer that was not a failure.
@@ -75,8 +96,12 @@
     bool isFollowing() const { return m_isFollowing; }
 
 private:
+    bool isLeftToOthers(Milliseconds now) const;
+
     Times m_times;
     RandomSource m_random;
+    /// Different for each instance, so that followers do not all read at once.
+    double m_patience = 1;
     bool m_isPending = false;
     bool m_isFollowing = false;
     StoreCall::Kind m_kind = StoreCall::Kind::List;
@@ -88,6 +113,12 @@
     std::string m_page;
     std::uint32_t m_failures = 0;
     std::optional<Milliseconds> m_confirmedAt;
+    bool m_isFollower = false;
+    /// Read although others do.
+    bool m_isImpatient = false;
+    Revision m_declaration;
+    Revision m_wantedDeclaration;
+    bool m_wasOldDeclaration = false;
 };
 
 } // namespace damaskhall
--- a/src/forwarder/forwarderlog.cpp
+++ b/src/forwarder/forwarderlog.cpp
@@ -110,6 +110,9 @@
     Distribution answers;
     std::uint64_t mistakes = 0;
     std::uint64_t storeLosses = 0;
+    std::uint64_t peerMistakes = 0;
+    std::array<std::uint64_t, ControlEventCount> peerEvents{};
+    LogLimiter peerLimit{clock, 1_s};
 };
 
 ForwarderLog::ForwarderLog(BoundedLog &log, Clock clock)
@@ -159,6 +162,25 @@
     return hooks;
 }
 
+ControlHooks ForwarderLog::peerHooks(RandomSource random)
+{
+    return {std::move(random), [](RetryReason) {},
+            [d = m_d.get()](ControlEvent event) {
+                ++d->peerEvents.at(static_cast<std::size_t>(event));
+            }};
+}
+
+void ForwarderLog::reportPeerMistake(const Error &error, Endpoint peer)
+{
+    ++m_d->peerMistakes;
+    if (const auto left = m_d->peerLimit.pass("peer")) {
+        m_d->log.log(LogLevel::Warn, "peers", "A datagram cannot be read.",
+                     {{"peer", toString(peer)},
+                      {"detail", toString(error)},
+                      {"left_out", std::to_string(*left)}});
+    }
+}
+
 void ForwarderLog::reportStart(const ForwarderSettings &settings)
 {
     m_d->log.log(LogLevel::Info, "process", "Started.",
--- a/src/forwarder/forwarderlog.h
+++ b/src/forwarder/forwarderlog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config/forwardersettings.h"
+#include "core/control/controlhooks.h"
 #include "core/flow/flowcontroller.h"
 #include "forwarder/flowworker.h"
 #include "io/boundedlog.h"
@@ -25,6 +26,10 @@
     /// Returns hooks for the control thread.
     FlowControlHooks controlHooks(RandomSource random);
 
+    /// Returns hooks for the peers, on the control thread.
+    ControlHooks peerHooks(RandomSource random);
+
+    void reportPeerMistake(const Error &error, Endpoint peer);
     void reportStart(const ForwarderSettings &settings);
     void reportStop(std::string_view sentence, const ForwarderSettings &settings);
     void reportReload(const ForwarderSettings &before, const ForwarderSettings &after);
--- a/src/forwarder/forwarderprocess.cpp
+++ b/src/forwarder/forwarderprocess.cpp
@@ -3,9 +3,13 @@
 #include "config/configfile.h"
 #include "config/declaration.h"
 #include "config/inidocument.h"
+#include "core/flow/peercontroller.h"
 #include "forwarder/forwarderlog.h"
 #include "io/boundedlog.h"
 #include "io/statusserver.h"
+#include "io/udpport.h"
+#include "wire/controlcodec.h"
+#include "wire/newscodec.h"
 
 #include <algorithm>
 #include <asio/signal_set.hpp>
@@ -69,6 +73,7 @@
         settings = std::move(read);
         log.setLevel(parseLogLevel(settings.logLevel));
         makeController();
+        BOOST_OUTCOME_TRYV(openPeers());
         callStore = platform.openStore(context, settings.store);
         const FlowWorkerOptions options{settings.listen, {serviceId(settings.dataCentre).value}};
         worker = std::make_unique<FlowWorker>(options, platform.packets,
@@ -87,11 +92,86 @@
         times.reader.pace =
                 std::min(settings.leavingLimit, settings.declarationLimit) / WatchesPerLeavingLimit;
         times.reader.wait = times.reader.pace;
+        // Two paces and the time of a slow answer.
+        times.confirmation = times.reader.pace * 2 + 500_ms;
         times.directory.confirmation = settings.confirmation;
         times.directory.flowLifetime = settings.flowLifetime;
         controller = std::make_unique<FlowController>(times, lines.controlHooks(systemRandom()));
     }
 
+    Result<void> openPeers()
+    {
+        if (settings.peerListen.isNull()) {
+            return success();
+        }
+        BOOST_OUTCOME_TRY(opened, UdpPort::open(context, settings.peerListen,
+                                                [this](std::string_view bytes, Endpoint from) {
+                                                    receiveFromPeer(bytes, from);
+                                                }));
+        peerPort = std::move(opened);
+        MemberUpdate self;
+        self.id.value = serviceId(settings.name).value;
+        self.incarnation.value = static_cast<std::uint64_t>(Clock::wallTime().value);
+        self.endpoint = settings.listen;
+        self.control = settings.peerListen;
+        peers = std::make_unique<PeerController>(self,
+                                                 DataCentreId{serviceId(settings.region).value},
+                                                 settings.seeds, lines.peerHooks(systemRandom()));
+        return success();
+    }
+
+    void receiveFromPeer(std::string_view bytes, Endpoint from)
+    {
+        const Milliseconds now = clock.now();
+        if (isNewsDatagram(bytes)) {
+            const Result<DirectoryNews> news = decodeNews(bytes);
+            if (!news) {
+                lines.reportPeerMistake(news.assume_error(), from);
+                return;
+            }
+            send(peers->passOn(news.assume_value(), now));
+            controller->handleNews(news.assume_value(), now);
+            advance();
+            return;
+        }
+        const Result<ControlDatagram> datagram = decodeControlDatagram(bytes);
+        if (!datagram) {
+            lines.reportPeerMistake(datagram.assume_error(), from);
+            return;
+        }
+        send(peers->handleDatagram(datagram.assume_value(), from, now));
+    }
+
+    void send(const PeerActions &actions)
+    {
+        for (const SendDatagram &datagram : actions.datagrams) {
+            peerPort->queue(encodeControlDatagram(datagram.datagram), datagram.to);
+        }
+        for (const SendNews &news : actions.news) {
+            peerPort->queue(encodeNews(news.news), news.to);
+        }
+        peerPort->flush();
+    }
+
+    void tickPeers(Milliseconds now)
+    {
+        if (!peers) {
+            return;
+        }
+        send(peers->tick(now));
+        // Alone or not: an instance that knows no peer is a reader too.
+        controller->setReader(peers->isReader());
+    }
+
+    // Tells the others what the store has just answered.
+    void spreadNews(Milliseconds now)
+    {
+        const auto news = controller->takeNews(now);
+        if (news && peers && peers->isReader()) {
+            send(peers->publish(*news));
+        }
+    }
+
     bool isReady() const { return controller->isUsable() && !stopSince; }
 
     std::string metrics() const
@@ -106,6 +186,7 @@
         if (const auto call = controller->nextCall(now)) {
             callStore(*call, [this](const StoreReply &reply) {
                 controller->handleReply(reply, clock.now());
+                spreadNews(clock.now());
                 advance();
             });
         }
@@ -116,6 +197,7 @@
 
     void tick()
     {
+        tickPeers(clock.now());
         advance();
         log.flush();
         if (stopSince && isStopDue(clock.now())) {
@@ -148,6 +230,9 @@
             } else if (!stopSince) {
                 stopSince = clock.now();
                 lines.reportStop("A stop was requested.", settings);
+                if (peers) {
+                    peers->beginLeaving();
+                }
             }
             waitSignal();
         });
@@ -177,6 +262,8 @@
     asio::steady_timer timer;
     asio::signal_set signals;
     std::unique_ptr<FlowController> controller;
+    std::unique_ptr<UdpPort> peerPort;
+    std::unique_ptr<PeerController> peers;
     StoreCaller callStore;
     std::unique_ptr<FlowWorker> worker;
     std::unique_ptr<StatusServer> status;
--- a/tests/config/forwardersettings_test.cpp
+++ b/tests/config/forwardersettings_test.cpp
@@ -8,6 +8,7 @@
 const std::string Complete = R"([forwarder]
 name = front-1
 data_centre = katugastota
+region = central-hills
 listen = 10.1.0.10:8172
 status_listen = 10.1.0.10:8167
 peer_listen = 10.1.0.10:8166
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -14,7 +14,7 @@
     key=$({ cat .clang-tidy "$file"; clang++ -std=c++20 -DASIO_STANDALONE -DMSGPACK_NO_BOOST -Isrc -I. -MM "$file" 2>/dev/null \
         | tr ' \\' '\n\n' | grep -v '^/' | grep '\.h$' | sort -u | xargs -r cat; } | sha256sum | cut -d' ' -f1)
     [ -e "$cache/$key" ] && return 0
-    clang-tidy -p "$build" --quiet "$file" 2>/dev/null && touch "$cache/$key"
+    clang-tidy -p "$build" --quiet --extra-arg=-Wno-unknown-warning-option "$file" 2>/dev/null && touch "$cache/$key"
 }
 export -f check
 git ls-files 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'fakes/*.cpp' 'measure/*.cpp' | xargs -r -P "${LINT_JOBS:-8}" -I{} bash -c 'check {}'
