Give up idempotent requests to upstreams that accept no connection

Ruled out: a reset after retransmissions alone (one lost packet would break a live flow), resets of requests that must not run twice (they may have run, and their answers are still delivered). Change: a retransmission on a flow whose upstream gave no sign since leads to a TCP connection attempt (150 ms, at most two a second and upstream). If it fails too, the idempotent requests there are reset and further ones are refused for a second, and placement avoids the upstream.

--- a/fakes/flowfleet.cpp
+++ b/fakes/flowfleet.cpp
@@ -16,6 +16,7 @@
 constexpr Milliseconds OpeningLimit = 1400_ms;
 constexpr Milliseconds FirstRetransmission = 200_ms;
 constexpr Milliseconds MaxRetransmission = 1600_ms;
+constexpr Milliseconds ProbeTimeout = 150_ms;
 constexpr Milliseconds RouterTick = 100_ms;
 constexpr std::uint16_t RequestBytes = 500;
 constexpr std::uint32_t AnswerBytes = 1000;
@@ -135,6 +136,13 @@
         hooks.random = seededRandom(random());
         hooks.report = [](const FlowPacket &, const FlowDecision &, Milliseconds) {};
         hooks.reportAnswer = [](const FlowPacket &, UpstreamKey, Milliseconds) {};
+        hooks.probe = [this, &balancer](UpstreamKey key, Endpoint endpoint) {
+            const Milliseconds limit =
+                    upstreams[endpoint.address - 1].isSilent ? ProbeTimeout : 2_ms;
+            events.schedule(events.now() + limit, [this, &balancer, key, endpoint] {
+                finishProbe(balancer, key, !upstreams[endpoint.address - 1].isSilent);
+            });
+        };
         balancer.router = std::make_unique<FlowRouter>(
                 DataCentreId{static_cast<std::uint32_t>(balancer.dataCentre + 1)},
                 std::move(hooks));
@@ -142,6 +150,17 @@
         balancer.isUp = true;
     }
 
+    void finishProbe(Balancer &balancer, UpstreamKey key, bool isReachable)
+    {
+        if (!balancer.isUp) {
+            return;
+        }
+        for (const FlowPacket &packet :
+             balancer.router->handleProbe(key, isReachable, events.now())) {
+            reset(packet);
+        }
+    }
+
     std::shared_ptr<const FlowView> view() const
     {
         std::vector<UpstreamRecord> records;
@@ -352,15 +371,20 @@
         });
     }
 
+    void reset(const FlowPacket &packet)
+    {
+        events.schedule(events.now() + options.delay, [this, packet] {
+            const auto flow = flowsByKey.find(packet.key);
+            if (flow != flowsByKey.end() && !flow->second->isOver) {
+                fail(flow->second, !flow->second->isOpen);
+            }
+        });
+    }
+
     void carryOut(Balancer &balancer, const FlowPacket &packet, const FlowDecision &decision)
     {
         if (decision.action == FlowAction::Reset) {
-            events.schedule(events.now() + options.delay, [this, packet] {
-                const auto flow = flowsByKey.find(packet.key);
-                if (flow != flowsByKey.end() && !flow->second->isOver) {
-                    fail(flow->second, !flow->second->isOpen);
-                }
-            });
+            reset(packet);
         }
         if (decision.action != FlowAction::Forward) {
             return;
--- a/src/core/flow/flowdecision.cpp
+++ b/src/core/flow/flowdecision.cpp
@@ -44,8 +44,8 @@
         return "no_upstream_unconfirmed";
     case FlowReason::UpstreamReplaced:
         return "upstream_replaced";
-    case FlowReason::UpstreamGone:
-        return "upstream_gone";
+    case FlowReason::UpstreamUnreachable:
+        return "upstream_unreachable";
     case FlowReason::UnknownCookie:
         return "unknown_cookie";
     case FlowReason::NoCookie:
--- a/src/core/flow/flowdecision.h
+++ b/src/core/flow/flowdecision.h
@@ -43,8 +43,9 @@
     NoUpstreamUnconfirmed,
     /// Another process runs in place of the flow's upstream.
     UpstreamReplaced,
-    /// The flow's upstream is gone and leaves a request unanswered.
-    UpstreamGone,
+    /// The flow's upstream answers neither packets nor connection attempts; its client may ask
+    /// another one.
+    UpstreamUnreachable,
     /// The cookie names no known upstream.
     UnknownCookie,
     /// The packet has no cookie and belongs to no known flow.
--- a/src/core/flow/flowrouter.cpp
+++ b/src/core/flow/flowrouter.cpp
@@ -11,6 +11,14 @@
 /// Interval of housekeeping; averages and forgotten flows need no finer one.
 constexpr Milliseconds TickInterval = 100_ms;
 
+/// Shortest time between two connection attempts to one upstream.
+constexpr Milliseconds ProbeInterval = 500_ms;
+/// Age up to which a failed connection attempt speaks for requests that are sent after it.
+constexpr Milliseconds ProbeValidity = 1_s;
+/// Clients repeat an unacknowledged packet after 200 ms; with the attempt's time limit this much
+/// has passed when a flow is given up.
+constexpr Milliseconds UnreachablePatience = 300_ms;
+
 constexpr std::int32_t distance(std::uint32_t from, std::uint32_t to)
 {
     return static_cast<std::int32_t>(to - from);
@@ -164,7 +172,12 @@
         return lost;
     }
     const FlowDecision decision = forward(context, *record, FlowReason::Established);
+    flow.isIdempotent = context.route && context.route->kind == RouteKind::Idempotent;
     observe(context);
+    if (const auto unreachable = filterUnreachable(context)) {
+        m_flows.erase(packet.key);
+        return unreachable;
+    }
     return decision;
 }
 
@@ -204,6 +217,67 @@
     return std::nullopt;
 }
 
+// A request to an upstream that has just failed a connection attempt would wait for nothing. The
+// client of an idempotent request asks another upstream at once; any other request is forwarded,
+// since the upstream may be back before its client gives up.
+std::optional<FlowDecision> FlowRouter::filterUnreachable(const Context &context) const
+{
+    const Flow *flow = context.flow;
+    if (!flow || !flow->isIdempotent || !flow->isBusy || context.packet.length == 0) {
+        return std::nullopt;
+    }
+    const UpstreamAccount &account = m_ledger.at(flow->account);
+    if (!account.unreachableAt || context.now - *account.unreachableAt >= ProbeValidity) {
+        return std::nullopt;
+    }
+    return refuse(FlowAction::Reset, FlowReason::UpstreamUnreachable);
+}
+
+void FlowRouter::probe(const Flow &flow, Milliseconds now)
+{
+    UpstreamAccount &account = m_ledger.at(flow.account);
+    const UpstreamRecord *record = m_view->find(flow.upstream);
+    if (record && (!account.probedAt || now - *account.probedAt >= ProbeInterval)) {
+        account.probedAt = now;
+        m_hooks.probe(flow.upstream, record->entry.endpoint);
+    }
+}
+
+std::vector<FlowPacket> FlowRouter::handleProbe(UpstreamKey upstream, bool isReachable,
+                                                Milliseconds now)
+{
+    std::vector<FlowPacket> resets;
+    const auto id = m_ledger.findId(upstream);
+    if (!id) {
+        return resets;
+    }
+    UpstreamAccount &account = m_ledger.at(*id);
+    const bool gaveSign = account.probedAt && account.lastSign >= *account.probedAt;
+    if (isReachable || gaveSign) {
+        account.unreachableAt.reset();
+        return resets;
+    }
+    account.unreachableAt = now;
+    m_flows.forEach([&](const FlowKey &key, const Flow &flow) {
+        const bool isLost = flow.account == *id && flow.isBusy && flow.isIdempotent &&
+                            flow.requestAt > account.lastSign &&
+                            now - flow.requestAt >= UnreachablePatience;
+        if (isLost) {
+            FlowPacket packet;
+            packet.key = key;
+            packet.acknowledgment = flow.acknowledged;
+            resets.push_back(packet);
+        }
+    });
+    for (const FlowPacket &packet : resets) {
+        m_flows.erase(packet.key);
+        FlowDecision decision = refuse(FlowAction::Reset, FlowReason::UpstreamUnreachable);
+        decision.upstream = upstream;
+        m_hooks.report(packet, decision, now);
+    }
+    return resets;
+}
+
 // Learns from the client's half of the flow how its upstream works.
 void FlowRouter::observe(Context &context)
 {
@@ -234,6 +308,13 @@
             m_flows.setBusy(flow, true);
             m_ledger.noteRequest(flow.account, now);
         }
+        if (m_ledger.at(flow.account).unreachableAt) {
+            probe(flow, now);
+        }
+    } else if (packet.length > 0 && flow.isBusy &&
+               flow.requestAt > m_ledger.at(flow.account).lastSign) {
+        // The client repeats what the upstream did not acknowledge.
+        probe(flow, now);
     }
     if (packet.isReset) {
         m_flows.erase(packet.key);
--- a/src/core/flow/flowrouter.h
+++ b/src/core/flow/flowrouter.h
@@ -16,11 +16,12 @@
 struct FlowHooks
 {
     RandomSource random;
-    /// Called for each decision, with the flow's age and the time that its upstream has been
-    /// silent; must be quick.
+    /// Called for each decision; must be quick.
     std::function<void(const FlowPacket &, const FlowDecision &, Milliseconds now)> report;
     /// Called with the time from a request to the client's acknowledgment of its answer.
     std::function<void(const FlowPacket &, UpstreamKey, Milliseconds duration)> reportAnswer;
+    /// Asks for a connection attempt; its result comes with handleProbe().
+    std::function<void(UpstreamKey, Endpoint)> probe;
 };
 
 /// Decides what happens to each packet of a client: a chain of filters, the first that decides
@@ -34,6 +35,9 @@
     /// Takes a new view. Precondition: @p view is not null.
     void handleView(std::shared_ptr<const FlowView> view);
     FlowDecision handlePacket(const FlowPacket &packet, Milliseconds now);
+    /// Takes the result of a connection attempt. Returns the last packets of flows to reset: their
+    /// upstream cannot be reached, and their clients may ask another one.
+    std::vector<FlowPacket> handleProbe(UpstreamKey upstream, bool isReachable, Milliseconds now);
     void tick(Milliseconds now);
 
     const FlowView &view() const { return *m_view; }
@@ -62,6 +66,8 @@
                          FlowReason reason) const;
     std::optional<FlowDecision> filterLostUpstream(const Context &context,
                                                    const UpstreamRecord *record) const;
+    std::optional<FlowDecision> filterUnreachable(const Context &context) const;
+    void probe(const Flow &flow, Milliseconds now);
     void observe(Context &context);
 
     DataCentreId m_dataCentre;
--- a/src/core/flow/flowtable.cpp
+++ b/src/core/flow/flowtable.cpp
@@ -107,6 +107,13 @@
     m_d->count(flow, 1);
 }
 
+void FlowTable::forEach(const std::function<void(const FlowKey &, const Flow &)> &visit) const
+{
+    for (const auto &[key, flow] : m_d->flows) {
+        visit(key, flow);
+    }
+}
+
 void FlowTable::tick(const Times &times, Milliseconds now)
 {
     for (auto it = m_d->flows.begin(); it != m_d->flows.end();) {
--- a/src/core/flow/flowtable.h
+++ b/src/core/flow/flowtable.h
@@ -3,6 +3,7 @@
 #include "core/flow/upstreamledger.h"
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -24,6 +25,8 @@
     AccountId account;
     FlowPhase phase = FlowPhase::Opening;
     bool isBusy = false;
+    /// The client repeats a request after any failure.
+    bool isIdempotent = false;
     /// The opening or request under way counts as load of the upstream.
     bool isCounted = true;
     Milliseconds openedAt;
@@ -72,6 +75,8 @@
     /// Moves a flow to another upstream.
     void move(Flow &flow, const UpstreamEntry &upstream);
 
+    /// Calls @p visit for each flow. The flows must not be added or removed meanwhile.
+    void forEach(const std::function<void(const FlowKey &, const Flow &)> &visit) const;
     /// Forgets flows that ended.
     void tick(const Times &times, Milliseconds now);
 
--- a/src/core/flow/placement.cpp
+++ b/src/core/flow/placement.cpp
@@ -52,7 +52,8 @@
 
 bool Placement::isSilent(const UpstreamAccount &account, Milliseconds now)
 {
-    return account.silentSince && now - *account.silentSince > OpeningPatience;
+    return account.unreachableAt.has_value() ||
+           (account.silentSince && now - *account.silentSince > OpeningPatience);
 }
 
 double Placement::cost(const UpstreamRecord &record, const UpstreamLedger &ledger,
--- a/src/core/flow/placement.h
+++ b/src/core/flow/placement.h
@@ -22,7 +22,7 @@
                                  Milliseconds now, const RandomSource &random) const;
 
     /// Returns true if the upstream left an opening packet unanswered for longer than an answer
-    /// takes.
+    /// takes, or cannot be reached.
     static bool isSilent(const UpstreamAccount &account, Milliseconds now);
 
 private:
--- a/src/core/flow/upstreamledger.cpp
+++ b/src/core/flow/upstreamledger.cpp
@@ -55,6 +55,12 @@
     return found == m_index.end() ? nullptr : &m_accounts[found->second];
 }
 
+std::optional<AccountId> UpstreamLedger::findId(UpstreamKey key) const
+{
+    const auto found = m_index.find(key);
+    return found == m_index.end() ? std::nullopt : std::optional(AccountId{found->second});
+}
+
 void UpstreamLedger::noteOpening(AccountId id, Milliseconds now)
 {
     UpstreamAccount &account = at(id);
@@ -79,6 +85,7 @@
     UpstreamAccount &account = at(id);
     account.lastSign = now;
     account.silentSince.reset();
+    account.unreachableAt.reset();
     account.failedTries = 0;
     if (account.busyFlows > 0) {
         account.stalledSince = now;
--- a/src/core/flow/upstreamledger.h
+++ b/src/core/flow/upstreamledger.h
@@ -32,6 +32,10 @@
     Milliseconds lastSign;
     /// Since when a request waits without any sign of life.
     std::optional<Milliseconds> stalledSince;
+    /// Last failed connection attempt since which the upstream gave no sign of life.
+    std::optional<Milliseconds> unreachableAt;
+    /// Last time that a connection attempt was asked for.
+    std::optional<Milliseconds> probedAt;
     /// Smoothed time from request to answer in milliseconds; zero: no sample yet.
     double answerTime = 0;
     Milliseconds sampledAt;
@@ -54,6 +58,9 @@
     /// Returns the account, or null.
     const UpstreamAccount *find(UpstreamKey key) const;
 
+    /// Returns the id of an account, or nothing.
+    std::optional<AccountId> findId(UpstreamKey key) const;
+
     /// Notes that an opening packet went to the upstream.
     void noteOpening(AccountId id, Milliseconds now);
     /// Notes that a request went to the upstream.
--- a/src/forwarder/flowworker.cpp
+++ b/src/forwarder/flowworker.cpp
@@ -115,6 +115,15 @@
         port->flush();
     }
 
+    void handleProbe(UpstreamKey upstream, bool isReachable)
+    {
+        for (const FlowPacket &packet : router.handleProbe(upstream, isReachable, clock.now())) {
+            format.writeReset(packet,
+                              port->prepare({packet.key.client.address, options.listen.port}));
+        }
+        port->flush();
+    }
+
     void tick()
     {
         const Milliseconds now = clock.now();
@@ -173,6 +182,12 @@
     asio::post(m_d->context, [d = m_d.get(), view = std::move(view)] { d->handleView(view); });
 }
 
+void FlowWorker::reportProbe(UpstreamKey upstream, bool isReachable)
+{
+    asio::post(m_d->context,
+               [d = m_d.get(), upstream, isReachable] { d->handleProbe(upstream, isReachable); });
+}
+
 FlowCounts FlowWorker::counts() const
 {
     const std::lock_guard lock(m_d->mutex);
--- a/src/forwarder/flowworker.h
+++ b/src/forwarder/flowworker.h
@@ -56,6 +56,8 @@
     Result<void> start();
     /// Publishes a new view to the traffic thread. Precondition: @p view is not null.
     void publish(std::shared_ptr<const FlowView> view);
+    /// Passes on the result of a connection attempt that the hooks asked for.
+    void reportProbe(UpstreamKey upstream, bool isReachable);
     /// Returns the counts as of the last tick.
     FlowCounts counts() const;
     /// Returns the time of the last packet.
--- a/src/forwarder/forwarderlog.cpp
+++ b/src/forwarder/forwarderlog.cpp
@@ -111,6 +111,8 @@
     std::uint64_t mistakes = 0;
     std::uint64_t storeLosses = 0;
     std::uint64_t peerMistakes = 0;
+    std::uint64_t probesAnswered = 0;
+    std::uint64_t probesFailed = 0;
     std::array<std::uint64_t, ControlEventCount> peerEvents{};
     LogLimiter peerLimit{clock, 1_s};
 };
@@ -129,7 +131,8 @@
                             Milliseconds now) { d->reportPacket(packet, decision, now); },
             [d = m_d.get()](const FlowPacket &, UpstreamKey, Milliseconds duration) {
                 d->reportAnswer(duration);
-            }};
+            },
+            {}};
 }
 
 FlowControlHooks ForwarderLog::controlHooks(RandomSource random)
@@ -170,6 +173,15 @@
             }};
 }
 
+void ForwarderLog::reportProbe(UpstreamKey upstream, Endpoint endpoint, bool isReachable)
+{
+    ++(isReachable ? m_d->probesAnswered : m_d->probesFailed);
+    m_d->log.log(isReachable ? LogLevel::Info : LogLevel::Warn, "upstreams",
+                 isReachable ? "A silent upstream accepts connections."
+                             : "A silent upstream accepts no connection.",
+                 {{"upstream", hex(upstream.id.value)}, {"address", toString(endpoint)}});
+}
+
 void ForwarderLog::reportPeerMistake(const Error &error, Endpoint peer)
 {
     ++m_d->peerMistakes;
--- a/src/forwarder/forwarderlog.h
+++ b/src/forwarder/forwarderlog.h
@@ -21,7 +21,7 @@
     ForwarderLog(const ForwarderLog &) = delete;
     ForwarderLog &operator=(const ForwarderLog &) = delete;
 
-    /// Returns hooks for the traffic thread.
+    /// Returns hooks for the traffic thread, all but FlowHooks::probe.
     FlowHooks flowHooks(RandomSource random);
     /// Returns hooks for the control thread.
     FlowControlHooks controlHooks(RandomSource random);
@@ -29,6 +29,7 @@
     /// Returns hooks for the peers, on the control thread.
     ControlHooks peerHooks(RandomSource random);
 
+    void reportProbe(UpstreamKey upstream, Endpoint endpoint, bool isReachable);
     void reportPeerMistake(const Error &error, Endpoint peer);
     void reportStart(const ForwarderSettings &settings);
     void reportStop(std::string_view sentence, const ForwarderSettings &settings);
--- a/src/forwarder/forwarderprocess.cpp
+++ b/src/forwarder/forwarderprocess.cpp
@@ -7,11 +7,13 @@
 #include "forwarder/forwarderlog.h"
 #include "io/boundedlog.h"
 #include "io/statusserver.h"
+#include "io/tcpprobe.h"
 #include "io/udpport.h"
 #include "wire/controlcodec.h"
 #include "wire/newscodec.h"
 
 #include <algorithm>
+#include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <csignal>
@@ -31,6 +33,8 @@
 constexpr Milliseconds QuietTime = 400_ms;
 /// Part of the stop limit that is kept for the end of the process.
 constexpr Milliseconds StopReserve = 1500_ms;
+/// An upstream's host accepts a connection within some round trips between data centres.
+constexpr Milliseconds ProbeTimeout = 150_ms;
 /// An upstream's leaving passes three stages within the leaving limit: the watch that returns it,
 /// copies of the last opening packet (600 ms), and the packets' way.
 constexpr std::int64_t WatchesPerLeavingLimit = 3;
@@ -76,8 +80,11 @@
         BOOST_OUTCOME_TRYV(openPeers());
         callStore = platform.openStore(context, settings.store);
         const FlowWorkerOptions options{settings.listen, {serviceId(settings.dataCentre).value}};
-        worker = std::make_unique<FlowWorker>(options, platform.packets,
-                                              lines.flowHooks(systemRandom()), clock);
+        FlowHooks hooks = lines.flowHooks(systemRandom());
+        hooks.probe = [this](UpstreamKey upstream, Endpoint endpoint) {
+            asio::post(context, [this, upstream, endpoint] { probe(upstream, endpoint); });
+        };
+        worker = std::make_unique<FlowWorker>(options, platform.packets, std::move(hooks), clock);
         BOOST_OUTCOME_TRYV(worker->start());
         status = std::make_unique<StatusServer>(
                 context, StatusHooks{[this] { return isReady(); }, [this] { return metrics(); }});
@@ -99,6 +106,14 @@
         controller = std::make_unique<FlowController>(times, lines.controlHooks(systemRandom()));
     }
 
+    void probe(UpstreamKey upstream, Endpoint endpoint)
+    {
+        probeTcp(context, endpoint, ProbeTimeout, [this, upstream, endpoint](bool isReachable) {
+            lines.reportProbe(upstream, endpoint, isReachable);
+            worker->reportProbe(upstream, isReachable);
+        });
+    }
+
     Result<void> openPeers()
     {
         if (settings.peerListen.isNull()) {
--- a/tests/core/flow/flowrouter_test.cpp
+++ b/tests/core/flow/flowrouter_test.cpp
@@ -159,6 +159,89 @@
     EXPECT_EQ(bench.send(data(4, placed.cookie, 10)).reason, FlowReason::RouteRemoved);
 }
 
+// Requests on open flows whose upstream answers nothing any more.
+class FlowSilence : public ::testing::Test
+{
+protected:
+    FlowSilence()
+    {
+        bench.publish({makeEntry(1)});
+        flow = bench.open(1);
+        bench.now += 1_s;
+        bench.send(data(1, flow.cookie, 100));
+    }
+
+    /// The client repeats its request.
+    FlowDecision repeat(Milliseconds after)
+    {
+        bench.now += after;
+        return bench.send(data(1, flow.cookie, 100));
+    }
+
+    FlowBench bench;
+    FlowDecision flow;
+};
+
+// Guards against a live flow that is reset because a single packet was lost.
+TEST_F(FlowSilence, ProbesBeforeItGivesAFlowUp)
+{
+    EXPECT_TRUE(bench.probed.empty());
+    EXPECT_EQ(repeat(200_ms).action, FlowAction::Forward);
+    ASSERT_EQ(bench.probed.size(), 1U);
+    EXPECT_TRUE(bench.router.handleProbe(flow.upstream, true, bench.now + 2_ms).empty());
+    EXPECT_EQ(repeat(400_ms).action, FlowAction::Forward);
+}
+
+// Guards against a client that waits for a dead upstream until its time limit.
+TEST_F(FlowSilence, ResetsIdempotentRequestsOfAnUnreachableUpstream)
+{
+    repeat(200_ms);
+    bench.now += 150_ms;
+    const auto resets = bench.router.handleProbe(flow.upstream, false, bench.now);
+    ASSERT_EQ(resets.size(), 1U);
+    EXPECT_EQ(resets[0].key, opening(1).key);
+    EXPECT_EQ(resets[0].acknowledgment, 5000U) << "the client takes a reset near its window";
+}
+
+// Guards against a reset that crosses an answer on its way.
+TEST_F(FlowSilence, KeepsTheFlowIfTheUpstreamGaveASign)
+{
+    repeat(200_ms);
+    bench.now += 20_ms;
+    bench.send(data(1, flow.cookie, 0, 1101, 6000));
+    bench.send(data(1, flow.cookie, 100, 1101, 6000));
+    EXPECT_TRUE(bench.router.handleProbe(flow.upstream, false, bench.now + 130_ms).empty());
+    EXPECT_EQ(repeat(400_ms).action, FlowAction::Forward);
+}
+
+// Guards against a claim that is given up although its upstream may have run it.
+TEST_F(FlowSilence, NeverResetsWhatMustNotRunTwice)
+{
+    auto routes = std::make_shared<RouteTable>(*bench.routes);
+    routes->routes[test::BoardRoute].kind = RouteKind::NonIdempotent;
+    bench.routes = routes;
+    bench.publish({makeEntry(1)});
+    repeat(200_ms);
+    bench.now += 150_ms;
+    EXPECT_TRUE(bench.router.handleProbe(flow.upstream, false, bench.now).empty());
+    EXPECT_EQ(repeat(400_ms).action, FlowAction::Forward);
+}
+
+// Guards against each client of a dead upstream finding out for itself.
+TEST_F(FlowSilence, ResetsFurtherRequestsAtOnceWhileTheProbeIsFresh)
+{
+    const FlowDecision second = bench.open(2);
+    repeat(200_ms);
+    bench.now += 150_ms;
+    bench.router.handleProbe(flow.upstream, false, bench.now);
+    bench.now += 500_ms;
+    EXPECT_EQ(bench.send(data(2, second.cookie, 100)).reason, FlowReason::UpstreamUnreachable);
+    const FlowDecision third = bench.send(opening(3));
+    bench.now += 1_s;
+    EXPECT_EQ(bench.send(data(3, third.cookie, 100)).action, FlowAction::Forward)
+            << "an old verdict needs a new probe";
+}
+
 // Copies of an opening packet.
 class FlowCopies : public ::testing::Test
 {
--- a/tests/support/flowfixture.h
+++ b/tests/support/flowfixture.h
@@ -71,7 +71,8 @@
         : router(OwnDataCentre, {seededRandom(seed),
                                  [this](const FlowPacket &, const FlowDecision &decision,
                                         Milliseconds) { reasons.push_back(decision.reason); },
-                                 [](const FlowPacket &, UpstreamKey, Milliseconds) {}})
+                                 [](const FlowPacket &, UpstreamKey, Milliseconds) {},
+                                 [this](UpstreamKey key, Endpoint) { probed.push_back(key); }})
     {
     }
 
@@ -107,6 +108,7 @@
     Milliseconds now = 1_s;
     std::shared_ptr<const RouteTable> routes = makeRoutes();
     std::vector<FlowReason> reasons;
+    std::vector<UpstreamKey> probed;
     FlowRouter router;
 };
 
