--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
-.PHONY: run test build packages format lint measure golden
+.PHONY: run test build packages format lint measure golden soak
 run: packages build
 	tools/run.sh $(BUILD)
 
@@ -30,5 +30,9 @@
 measure: build
 	$(BUILD)/bin/damaskhall-measure $(if $(SEED),--seed $(SEED)) $(if $(QUICK),--quick)
 
+# SEEDS="1 2 3" and SOAK_SECONDS choose the runs beside the regression seeds.
+soak: build
+	soak/run.sh $(BUILD)
+
 golden: build
 	DAMASKHALL_UPDATE_GOLDEN=1 $(BUILD)/bin/damaskhall-tests --gtest_filter='*Golden*'
--- /dev/null
+++ b/soak/run.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Runs the fault soak: every seed of soak/seeds.txt, then SEEDS fresh or given ones. $1 is the build
+# folder. Stops at the first broken promise.
+set -euo pipefail
+build=${1:-build}
+cd "$(dirname "$0")/.."
+binary=$build/bin/damaskhall-forwarder
+while read -r seed options; do
+    # The cause stands behind a colon.
+    # shellcheck disable=SC2086
+    python3 -B soak/soak.py --binary "$binary" --seed "$seed" ${options%%:*}
+done < <(grep -v '^#' soak/seeds.txt)
+for seed in ${SEEDS:-1}; do
+    python3 -B soak/soak.py --binary "$binary" --seed "$seed" --seconds "${SOAK_SECONDS:-10}"
+done
--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -31,7 +31,7 @@
     const bool isList = m_pending == StoreCall::Kind::List;
     const bool isDeclaration = m_pending == StoreCall::Kind::Declaration;
     m_reader.handleEnd(reply.outcome, reply.asOf, reply.nextPage, now);
-    reportStoreChange(reply, now);
+    reportStoreChange(reply.detail, now);
     if (reply.outcome != StoreOutcome::Done) {
         return;
     }
@@ -114,10 +114,11 @@
         m_reader.readSoon(now);
         return;
     }
+    m_reader.handleNews(news.to, now - news.age);
+    reportStoreChange("news of a peer", now);
     for (const StoreChange &change : news.changes) {
         take(change, now);
     }
-    m_reader.handleNews(news.to, now - news.age);
 }
 
 std::optional<DirectoryNews> FlowController::takeNews(Milliseconds now)
@@ -134,7 +135,7 @@
     return news;
 }
 
-void FlowController::reportStoreChange(const StoreReply &reply, Milliseconds now)
+void FlowController::reportStoreChange(const std::string &detail, Milliseconds now)
 {
     const bool isAway = m_reader.isAway();
     if (isAway == m_wasAway) {
@@ -146,7 +147,7 @@
     } else {
         m_directory.handleStoreRegained(now);
     }
-    m_hooks.reportStore(isAway, reply.detail);
+    m_hooks.reportStore(isAway, detail);
 }
 
 void FlowController::tick(Milliseconds now)
--- a/src/core/flow/flowcontroller.h
+++ b/src/core/flow/flowcontroller.h
@@ -76,7 +76,7 @@
 private:
     void take(const StoreChange &change, Milliseconds now);
     void takeDeclaration(const DeclaredRoutes &declared, Revision revision);
-    void reportStoreChange(const StoreReply &reply, Milliseconds now);
+    void reportStoreChange(const std::string &detail, Milliseconds now);
     bool isCurrent(Milliseconds now) const;
     void remember(const StoreChange &change);
 
--- a/src/core/flow/flowdecision.h
+++ b/src/core/flow/flowdecision.h
@@ -69,6 +69,8 @@
     UpstreamKey upstream;
     Endpoint endpoint;
     FlowCookie cookie;
+    /// Declaration that decided; zero: none was known.
+    Revision declaration;
 };
 
 } // namespace damaskhall
--- a/src/core/flow/flowrouter.cpp
+++ b/src/core/flow/flowrouter.cpp
@@ -10,7 +10,6 @@
 
 /// Interval of housekeeping; averages and forgotten flows need no finer one.
 constexpr Milliseconds TickInterval = 100_ms;
-
 /// Shortest time between two connection attempts to one upstream.
 constexpr Milliseconds ProbeInterval = 500_ms;
 /// Age up to which a failed connection attempt speaks for requests that are sent after it.
@@ -35,8 +34,7 @@
 } // namespace
 
 FlowRouter::FlowRouter(DataCentreId dataCentre, FlowHooks hooks)
-    : m_dataCentre(dataCentre)
-    , m_hooks(std::move(hooks))
+    : m_hooks(std::move(hooks))
     , m_flows(m_ledger)
     , m_placement(dataCentre)
 {
@@ -61,6 +59,7 @@
             break;
         }
     }
+    decision.declaration = m_view->isUsable() ? m_view->routes().revision : Revision{};
     m_hooks.report(packet, decision, now);
     return decision;
 }
@@ -113,7 +112,12 @@
     // that shows no life.
     const UpstreamAccount &account = m_ledger.at(flow.account);
     const bool isAlive = !Placement::isSilent(account, context.now);
-    if (mayServe && (isAlive || flow.phase != FlowPhase::Opening)) {
+    const bool isOpen = flow.phase != FlowPhase::Opening;
+    if (isOpen && !mayServe) {
+        // A late copy; the flow goes on where it is.
+        return refuse(FlowAction::Drop, FlowReason::OpeningRepeated);
+    }
+    if (mayServe && (isAlive || isOpen)) {
         flow.lastSeen = context.now;
         m_ledger.noteOpening(flow.account, context.now);
         return forward(context, *record, FlowReason::OpeningRepeated);
@@ -296,7 +300,8 @@
             const Milliseconds duration = now - flow.requestAt;
             m_flows.setBusy(flow, false);
             m_ledger.noteAnswer(flow.account, duration, now);
-            m_hooks.reportAnswer(packet, flow.upstream, duration);
+            m_hooks.reportAnswer(packet, flow.upstream, duration,
+                                 context.route ? context.route->target : Milliseconds{});
         }
         m_ledger.noteSign(flow.account, now);
     }
--- a/src/core/flow/flowrouter.h
+++ b/src/core/flow/flowrouter.h
@@ -18,8 +18,10 @@
     RandomSource random;
     /// Called for each decision; must be quick.
     std::function<void(const FlowPacket &, const FlowDecision &, Milliseconds now)> report;
-    /// Called with the time from a request to the client's acknowledgment of its answer.
-    std::function<void(const FlowPacket &, UpstreamKey, Milliseconds duration)> reportAnswer;
+    /// Called with the time from a request to the client's acknowledgment of its answer, and the
+    /// route's target; zero: the route is gone.
+    std::function<void(const FlowPacket &, UpstreamKey, Milliseconds duration, Milliseconds target)>
+            reportAnswer;
     /// Asks for a connection attempt; its result comes with handleProbe().
     std::function<void(UpstreamKey, Endpoint)> probe;
 };
@@ -70,7 +72,6 @@
     void probe(const Flow &flow, Milliseconds now);
     void observe(Context &context);
 
-    DataCentreId m_dataCentre;
     FlowHooks m_hooks;
     std::shared_ptr<const FlowView> m_view = std::make_shared<const FlowView>();
     UpstreamLedger m_ledger;
--- a/src/core/flow/storereader.cpp
+++ b/src/core/flow/storereader.cpp
@@ -124,6 +124,8 @@
 {
     m_after = std::max(m_after, asOf);
     m_confirmedAt = std::max(m_confirmedAt.value_or(confirmedAt), confirmedAt);
+    // The store answers, if not to this instance.
+    m_failures = 0;
 }
 
 void StoreReader::wantDeclaration(Revision revision)
--- a/src/forwarder/forwarderlog.cpp
+++ b/src/forwarder/forwarderlog.cpp
@@ -61,9 +61,8 @@
     }
 
     // Returns the number of lines left out before this one, or nothing if this one is left out.
-    std::optional<std::uint64_t> pass(FlowReason reason, Milliseconds now)
+    static std::optional<std::uint64_t> pass(Allowance &allowance, Milliseconds now)
     {
-        Allowance &allowance = allowances.at(static_cast<std::size_t>(reason));
         if (now - allowance.second >= 1_s || allowance.second < 0_ms) {
             allowance.second = now;
             allowance.lines = 0;
@@ -82,7 +81,7 @@
         if (decision.reason == FlowReason::Established || decision.action == FlowAction::Hold) {
             return;
         }
-        const auto left = pass(decision.reason, now);
+        const auto left = pass(allowances.at(static_cast<std::size_t>(decision.reason)), now);
         if (!left) {
             return;
         }
@@ -94,20 +93,40 @@
                  {"copy", std::to_string(packet.copy)},
                  {"upstream", hex(decision.upstream.id.value)},
                  {"cookie", hex(packet.cookie.value)},
+                 {"version", std::to_string(decision.declaration.value)},
                  {"left_out", std::to_string(*left)}});
     }
 
-    void reportAnswer(Milliseconds duration)
+    void reportAnswer(const FlowPacket &packet, UpstreamKey upstream, Milliseconds duration,
+                      Milliseconds target)
     {
-        const std::lock_guard lock(mutex);
-        answers.add(duration, clock.now());
+        const Milliseconds now = clock.now();
+        {
+            const std::lock_guard lock(mutex);
+            answers.add(duration, now);
+            lateAnswers += target > 0_ms && duration > target ? 1 : 0;
+        }
+        if (target == 0_ms || duration <= target) {
+            return;
+        }
+        if (const auto left = pass(lateAllowance, now)) {
+            log.log(LogLevel::Warn, "flow", "late answer",
+                    {{"client", toString(packet.key.client)},
+                     {"route", toString(packet.key.route)},
+                     {"upstream", hex(upstream.id.value)},
+                     {"answer_ms", std::to_string(duration.value)},
+                     {"target_ms", std::to_string(target.value)},
+                     {"left_out", std::to_string(*left)}});
+        }
     }
 
     BoundedLog &log;
     Clock clock;
     std::array<Allowance, FlowReasonCount> allowances{};
+    Allowance lateAllowance;
     mutable std::mutex mutex;
     Distribution answers;
+    std::uint64_t lateAnswers = 0;
     std::uint64_t mistakes = 0;
     std::uint64_t storeLosses = 0;
     std::uint64_t peerMistakes = 0;
@@ -129,8 +148,9 @@
     return {std::move(random),
             [d = m_d.get()](const FlowPacket &packet, const FlowDecision &decision,
                             Milliseconds now) { d->reportPacket(packet, decision, now); },
-            [d = m_d.get()](const FlowPacket &, UpstreamKey, Milliseconds duration) {
-                d->reportAnswer(duration);
+            [d = m_d.get()](const FlowPacket &packet, UpstreamKey upstream, Milliseconds duration,
+                            Milliseconds target) {
+                d->reportAnswer(packet, upstream, duration, target);
             },
             {}};
 }
@@ -244,7 +264,8 @@
              << "\"} " << standings.at(static_cast<std::size_t>(i)) << "\n";
     }
     const std::lock_guard lock(m_d->mutex);
-    text << "damaskhall_answer_milliseconds_count " << m_d->answers.count() << "\n"
+    text << "damaskhall_late_answers_total " << m_d->lateAnswers << "\n"
+         << "damaskhall_answer_milliseconds_count " << m_d->answers.count() << "\n"
          << "damaskhall_answer_milliseconds_sum " << m_d->answers.sum().value << "\n";
     if (const auto quantiles = m_d->answers.quantiles(m_d->clock.now())) {
         for (std::size_t i = 0; i < quantiles->size(); ++i) {
--- a/tests/core/flow/flowcontroller_test.cpp
+++ b/tests/core/flow/flowcontroller_test.cpp
@@ -108,5 +108,30 @@
     EXPECT_TRUE(controller.isStoreAway());
 }
 
+// Guards against an instance that doubts every lapse for good because others read for it since the
+// store came back.
+TEST_F(FlowControllerTest, BelievesThatTheStoreIsBackWhenPeersReadIt)
+{
+    reply(done(10, {{{5}, makeEntry(1)}, {{6}, makeEntry(2)}, declared(7, 3)}));
+    controller.setReader(false);
+    StoreReply refused;
+    refused.outcome = StoreOutcome::Refused;
+    reply(refused);
+    ASSERT_TRUE(controller.isStoreAway());
+    DirectoryNews news;
+    news.from = {10};
+    news.to = {12};
+    news.declaration = {3};
+    news.changes = {{{11}, UpstreamRemoval{makeEntry(1).key.id, {}}}};
+    controller.handleNews(news, now);
+    EXPECT_FALSE(controller.isStoreAway());
+    EXPECT_EQ(controller.directory().record(makeEntry(1).key).standing,
+              UpstreamStanding::Unconfirmed)
+            << "it may have lapsed while the store was away";
+    now += 2100_ms;
+    controller.tick(now);
+    EXPECT_EQ(controller.directory().record(makeEntry(1).key).standing, UpstreamStanding::Gone);
+}
+
 } // namespace
 } // namespace damaskhall
--- a/tests/core/flow/flowrouter_test.cpp
+++ b/tests/core/flow/flowrouter_test.cpp
@@ -288,6 +288,17 @@
     EXPECT_EQ(bench.send(opening(1, 1)).upstream, makeEntry(2).key);
 }
 
+// Guards against a second upstream for a flow that is open, by a late copy.
+TEST_F(FlowCopies, AreDroppedOnceTheFlowIsOpenAtALeavingUpstream)
+{
+    bench.publish({makeEntry(1)});
+    const FlowDecision first = bench.open(1);
+    bench.publishRecords({{makeEntry(1), UpstreamStanding::Leaving, {}},
+                          {makeEntry(2), UpstreamStanding::Ready, {}}});
+    EXPECT_EQ(bench.send(opening(1, 1)).action, FlowAction::Drop);
+    EXPECT_EQ(bench.send(data(1, first.cookie, 10)).upstream, first.upstream);
+}
+
 // Where new flows go.
 class FlowPlacement : public ::testing::Test
 {
--- a/tests/support/flowfixture.h
+++ b/tests/support/flowfixture.h
@@ -71,7 +71,7 @@
         : router(OwnDataCentre, {seededRandom(seed),
                                  [this](const FlowPacket &, const FlowDecision &decision,
                                         Milliseconds) { reasons.push_back(decision.reason); },
-                                 [](const FlowPacket &, UpstreamKey, Milliseconds) {},
+                                 [](const FlowPacket &, UpstreamKey, Milliseconds, Milliseconds) {},
                                  [this](UpstreamKey key, Endpoint) { probed.push_back(key); }})
     {
     }
--- a/tools/install-packages.sh
+++ b/tools/install-packages.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that the build needs, if any of them is missing.
 set -euo pipefail
 packages=(
-    g++ cmake ninja-build ccache clang-format clang-tidy
+    g++ cmake ninja-build ccache clang-format clang-tidy python3
     librestinio-dev libasio-dev libfmt-dev libhttp-parser-dev libmsgpack-cxx-dev liblog4cxx-dev
     libboost-dev libboost-program-options-dev libsodium-dev libxxhash-dev robin-map-dev
     libcurl4-openssl-dev nlohmann-json3-dev libgtest-dev libgmock-dev librapidcheck-dev
