Take nothing from news that is older than what is known

Found by the log lines reset reason=upstream_replaced of one instance only. Ruled out: the connection attempts (none of the resets named upstream_unreachable). Change: changes of news up to the revision already known are skipped, and the directory orders the holders of an address by revision. Two tests, both failing before. A packet that is repeated within 150 ms counts as reordered and causes no connection attempt; answered attempts are logged at debug.

--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -114,10 +114,14 @@
         m_reader.readSoon(now);
         return;
     }
+    // Earlier changes are part of what is known, and may have been overtaken since.
+    const Revision known = m_reader.revision();
     m_reader.handleNews(news.to, now - news.age);
     reportStoreChange("news of a peer", now);
     for (const StoreChange &change : news.changes) {
-        take(change, now);
+        if (change.revision > known) {
+            take(change, now);
+        }
     }
 }
 
--- a/src/core/flow/flowrouter.cpp
+++ b/src/core/flow/flowrouter.cpp
@@ -10,6 +10,8 @@
 
 /// Interval of housekeeping; averages and forgotten flows need no finer one.
 constexpr Milliseconds TickInterval = 100_ms;
+/// Clients repeat a packet after 200 ms at the earliest; what comes sooner was reordered.
+constexpr Milliseconds MinRetransmission = 150_ms;
 /// Shortest time between two connection attempts to one upstream.
 constexpr Milliseconds ProbeInterval = 500_ms;
 /// Age up to which a failed connection attempt speaks for requests that are sent after it.
@@ -316,7 +318,7 @@
         if (m_ledger.at(flow.account).unreachableAt) {
             probe(flow, now);
         }
-    } else if (packet.length > 0 && flow.isBusy &&
+    } else if (packet.length > 0 && flow.isBusy && now - flow.requestAt >= MinRetransmission &&
                flow.requestAt > m_ledger.at(flow.account).lastSign) {
         // The client repeats what the upstream did not acknowledge.
         probe(flow, now);
--- a/src/core/flow/upstreamdirectory.cpp
+++ b/src/core/flow/upstreamdirectory.cpp
@@ -30,11 +30,7 @@
     if (slot.last && *slot.last != entry.key) {
         replace(*slot.last, now);
     }
-    UpstreamKey &holder = m_holders.try_emplace(entry.endpoint, entry.key).first->second;
-    if (holder != entry.key) {
-        replace(holder, now);
-        holder = entry.key;
-    }
+    const bool hasAddress = takeAddress(entry, revision, now);
     slot.last = entry.key;
     slot.isPresent = true;
 
@@ -51,12 +47,31 @@
     if (next.entry.isLeaving) {
         next.standing = UpstreamStanding::Leaving;
     }
+    if (!hasAddress) {
+        next.standing = UpstreamStanding::Replaced;
+        found->second.missingSince = now;
+    }
     if (isNew || next != view) {
         view = next;
         ++m_version;
     }
 }
 
+// Returns false if a newer report names another holder of the entry's address.
+bool UpstreamDirectory::takeAddress(const UpstreamEntry &entry, Revision revision, Milliseconds now)
+{
+    const auto [found, isNew] = m_holders.try_emplace(entry.endpoint, Holder{entry.key, revision});
+    Holder &holder = found->second;
+    if (holder.key != entry.key) {
+        if (revision < holder.revision) {
+            return false;
+        }
+        replace(holder.key, now);
+    }
+    holder = {entry.key, std::max(holder.revision, revision)};
+    return true;
+}
+
 void UpstreamDirectory::replace(UpstreamKey key, Milliseconds now)
 {
     const auto found = m_records.find(key);
@@ -162,7 +177,7 @@
         m_slots.erase(slot);
     }
     const auto holder = m_holders.find(m_records.at(key).view.entry.endpoint);
-    if (holder != m_holders.end() && holder->second == key) {
+    if (holder != m_holders.end() && holder->second.key == key) {
         m_holders.erase(holder);
     }
 }
--- a/src/core/flow/upstreamdirectory.h
+++ b/src/core/flow/upstreamdirectory.h
@@ -72,6 +72,14 @@
         bool isPresent = false;
     };
 
+    /// Who has an address, and the newest report that says so.
+    struct Holder
+    {
+        UpstreamKey key;
+        Revision revision;
+    };
+
+    bool takeAddress(const UpstreamEntry &entry, Revision revision, Milliseconds now);
     bool advance(UpstreamId id, Revision revision);
     void replace(UpstreamKey key, Milliseconds now);
     void forget(UpstreamKey key);
@@ -83,7 +91,7 @@
     std::map<UpstreamKey, Record> m_records;
     std::map<UpstreamId, Slot> m_slots;
     /// Last start at each address.
-    std::unordered_map<Endpoint, UpstreamKey> m_holders;
+    std::unordered_map<Endpoint, Holder> m_holders;
     std::uint64_t m_version = 1;
     Revision m_revision;
     bool m_isComplete = false;
--- a/src/forwarder/forwarderlog.cpp
+++ b/src/forwarder/forwarderlog.cpp
@@ -196,7 +196,7 @@
 void ForwarderLog::reportProbe(UpstreamKey upstream, Endpoint endpoint, bool isReachable)
 {
     ++(isReachable ? m_d->probesAnswered : m_d->probesFailed);
-    m_d->log.log(isReachable ? LogLevel::Info : LogLevel::Warn, "upstreams",
+    m_d->log.log(isReachable ? LogLevel::Debug : LogLevel::Warn, "upstreams",
                  isReachable ? "A silent upstream accepts connections."
                              : "A silent upstream accepts no connection.",
                  {{"upstream", hex(upstream.id.value)}, {"address", toString(endpoint)}});
--- a/tests/core/flow/flowcontroller_test.cpp
+++ b/tests/core/flow/flowcontroller_test.cpp
@@ -133,5 +133,23 @@
     EXPECT_EQ(controller.directory().record(makeEntry(1).key).standing, UpstreamStanding::Gone);
 }
 
+// Guards against resets of live flows: an instance that started after an address changed hands
+// heard of the former holder in a peer's news and took it for the newer one.
+TEST_F(FlowControllerTest, IgnoresNewsFromBeforeItsList)
+{
+    const UpstreamEntry former = makeEntry(1, 1000);
+    UpstreamEntry holder = makeEntry(2, 2000);
+    holder.endpoint = former.endpoint;
+    reply(done(50, {{{40}, holder}, declared(7, 3)}));
+    DirectoryNews news;
+    news.from = {10};
+    news.to = {60};
+    news.declaration = {3};
+    news.changes = {{{20}, former}, {{30}, UpstreamRemoval{former.key.id, {}}}, {{40}, holder}};
+    controller.handleNews(news, now);
+    EXPECT_EQ(controller.directory().record(holder.key).standing, UpstreamStanding::Ready);
+    EXPECT_EQ(controller.directory().records().size(), 1U);
+}
+
 } // namespace
 } // namespace damaskhall
--- a/tests/core/flow/upstreamdirectory_test.cpp
+++ b/tests/core/flow/upstreamdirectory_test.cpp
@@ -102,6 +102,17 @@
     EXPECT_EQ(standing(successor), UpstreamStanding::Ready);
 }
 
+// Guards against resets of live flows by a late report about the former holder of an address.
+TEST_F(UpstreamDirectoryTest, KeepsTheNewestHolderOfAnAddress)
+{
+    UpstreamEntry holder = makeEntry(3, 3000);
+    holder.endpoint = first.endpoint;
+    directory.handleEntry(holder, {8}, now);
+    directory.handleEntry(first, {5}, now);
+    EXPECT_EQ(standing(holder), UpstreamStanding::Ready);
+    EXPECT_EQ(standing(first), UpstreamStanding::Replaced);
+}
+
 // Guards against entries that stay after changes were lost.
 TEST_F(UpstreamDirectoryTest, RemovesWhatACompleteListLacks)
 {
