--- a/soak/soak.py
+++ b/soak/soak.py
@@ -45,6 +45,15 @@
     return struct.unpack(">I", bytes(int(part) for part in address.split(".")))[0]
 
 
+def send_signal(process, number):
+    """Signals a process that may have ended, but has not been waited for by anyone else."""
+    try:
+        if process.returncode is None:
+            process.send_signal(number)
+    except ProcessLookupError:
+        pass
+
+
 class World:
     def __init__(self, options):
         self.random = random.Random(options.seed)
@@ -114,7 +123,7 @@
                 text = json.dumps(body).encode()
                 writer.write(f"HTTP/1.1 {status} x\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass
         finally:
             writer.close()
@@ -304,16 +313,14 @@
 
     def signal(self, number):
         self.disturb()
-        if self.process.returncode is None:
-            self.process.send_signal(number)
+        send_signal(self.process, number)
 
     async def pause(self, seconds):
         self.is_disturbed = True
         process = self.process
         self.signal(signal.SIGSTOP)
         await asyncio.sleep(seconds)
-        if process.returncode is None:
-            process.send_signal(signal.SIGCONT)
+        send_signal(process, signal.SIGCONT)
         self.is_disturbed = False
         self.disturb()
 
@@ -516,7 +523,7 @@
         elif kind == "term":
             forwarder.signal(signal.SIGTERM)
         elif kind == "hup":
-            forwarder.process.send_signal(signal.SIGHUP)
+            send_signal(forwarder.process, signal.SIGHUP)
         elif kind == "pause":
             asyncio.create_task(forwarder.pause(self.random.uniform(0.3, 3)))
         elif kind == "store":
@@ -575,9 +582,8 @@
         for task in tasks:
             task.cancel()
         for forwarder in self.forwarders:
-            if forwarder.process.returncode is None:
-                forwarder.process.kill()
-                await forwarder.process.wait()
+            send_signal(forwarder.process, signal.SIGKILL)
+            await forwarder.process.wait()
         after = [ok for at, ok in self.results if at > recovered]
         if sum(after) < RECOVERY_SHARE * len(after) or not after:
             self.violate("recovery", f"{sum(after)} of {len(after)} requests served after the faults")
