--- a/src/core/flow/flowrouter.cpp
+++ b/src/core/flow/flowrouter.cpp
@@ -301,9 +301,13 @@
         if (flow.isBusy) {
             const Milliseconds duration = now - flow.requestAt;
             m_flows.setBusy(flow, false);
-            m_ledger.noteAnswer(flow.account, duration, now);
-            m_hooks.reportAnswer(packet, flow.upstream, duration,
-                                 context.route ? context.route->target : Milliseconds{});
+            // Whatever takes longer than a client waits was not an answer to that request: the
+            // flow took another way meanwhile.
+            if (!context.route || duration <= context.route->timeout) {
+                m_ledger.noteAnswer(flow.account, duration, now);
+                m_hooks.reportAnswer(packet, flow.upstream, duration,
+                                     context.route ? context.route->target : Milliseconds{});
+            }
         }
         m_ledger.noteSign(flow.account, now);
     }
--- a/tests/core/flow/flowrouter_test.cpp
+++ b/tests/core/flow/flowrouter_test.cpp
@@ -242,6 +242,18 @@
             << "an old verdict needs a new probe";
 }
 
+// Guards against answer times of many seconds when a flow comes back from another balancer.
+TEST_F(FlowSilence, CountsNoAnswerThatComesLaterThanAnyClientWaits)
+{
+    bench.now += 1499_ms;
+    bench.send(data(1, flow.cookie, 0, 1101, 6000));
+    EXPECT_EQ(bench.answers.size(), 1U);
+    bench.send(data(1, flow.cookie, 100, 1101, 6000));
+    bench.now += 1501_ms;
+    bench.send(data(1, flow.cookie, 0, 1201, 7000));
+    EXPECT_EQ(bench.answers.size(), 1U);
+}
+
 // Copies of an opening packet.
 class FlowCopies : public ::testing::Test
 {
--- a/tests/support/flowfixture.h
+++ b/tests/support/flowfixture.h
@@ -71,7 +71,8 @@
         : router(OwnDataCentre, {seededRandom(seed),
                                  [this](const FlowPacket &, const FlowDecision &decision,
                                         Milliseconds) { reasons.push_back(decision.reason); },
-                                 [](const FlowPacket &, UpstreamKey, Milliseconds, Milliseconds) {},
+                                 [this](const FlowPacket &, UpstreamKey, Milliseconds duration,
+                                        Milliseconds) { answers.push_back(duration); },
                                  [this](UpstreamKey key, Endpoint) { probed.push_back(key); }})
     {
     }
@@ -109,6 +110,7 @@
     std::shared_ptr<const RouteTable> routes = makeRoutes();
     std::vector<FlowReason> reasons;
     std::vector<UpstreamKey> probed;
+    std::vector<Milliseconds> answers;
     FlowRouter router;
 };
 
