--- a/soak/soak.py
+++ b/soak/soak.py
@@ -551,6 +551,15 @@
             asyncio.create_task(victim.leave() if kind == "leave" else victim.crash())
             await self.add_upstream(victim.service)
 
+    async def end(self):
+        """Ends the processes of this run, also after a failure of the soak itself: one that stays
+        would join the next run with its addresses."""
+        self.is_over = True
+        for forwarder in self.forwarders:
+            if hasattr(forwarder, "process"):
+                send_signal(forwarder.process, signal.SIGKILL)
+                await forwarder.process.wait()
+
     async def run(self):
         for forwarder in self.forwarders:
             await self.store.serve(forwarder.index)
@@ -581,9 +590,7 @@
         await asyncio.sleep(2.5)
         for task in tasks:
             task.cancel()
-        for forwarder in self.forwarders:
-            send_signal(forwarder.process, signal.SIGKILL)
-            await forwarder.process.wait()
+        await self.end()
         after = [ok for at, ok in self.results if at > recovered]
         if sum(after) < RECOVERY_SHARE * len(after) or not after:
             self.violate("recovery", f"{sum(after)} of {len(after)} requests served after the faults")
@@ -606,7 +613,10 @@
     async def start():
         nonlocal soak
         soak = Soak(options, folder)
-        await soak.run()
+        try:
+            await soak.run()
+        finally:
+            await soak.end()
 
     asyncio.run(start())
     ok = sum(served for _, served in soak.results)
