Ask for a declaration with a pause, and drop a setting that nothing reads

Cause: a follower whose declaration read brought an older one asked again at once; with an item that cannot be read it would have called the store as fast as it answers. The setting heartbeat was checked and not used. Change: a pause of 100 ms between the reads (test), the setting is gone, StoreContent names the three things that the store holds, doc comments of the flow core.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -271,7 +271,7 @@
                 f"listen = {self.address}:{PACKET_PORT}\nstatus_listen = {self.address}:{STATUS_PORT}\n"
                 f"peer_listen = {self.address}:{PEER_PORT}\nseeds = {seeds}\n"
                 f"store = {ip(4, index)}:{STORE_PORT}\nleaving_limit = 3 s\ndeclaration_limit = 3 s\n"
-                f"flow_lifetime = 60 s\nstop_limit = 6 s\nconfirmation = 2 s\nheartbeat = 1200 ms\n")
+                f"flow_lifetime = 60 s\nstop_limit = 6 s\nconfirmation = 2 s\n")
 
     async def start(self):
         self.process = await asyncio.create_subprocess_exec(
--- a/src/config/forwardersettings.cpp
+++ b/src/config/forwardersettings.cpp
@@ -66,7 +66,6 @@
             durationField("flow_lifetime", &ForwarderSettings::flowLifetime),
             durationField("stop_limit", &ForwarderSettings::stopLimit),
             durationField("confirmation", &ForwarderSettings::confirmation),
-            durationField("heartbeat", &ForwarderSettings::heartbeat),
             {"log_level", false, "debug, info, warn or error",
              [](ForwarderSettings &settings, const std::string &text) {
                  return readLogLevel(text, settings.logLevel);
--- a/src/config/forwardersettings.h
+++ b/src/config/forwardersettings.h
@@ -38,8 +38,6 @@
     Milliseconds stopLimit;
     /// Time after the store's return within which lapsed entries are written again.
     Milliseconds confirmation;
-    /// Interval of the upstreams' heartbeats.
-    Milliseconds heartbeat;
     std::string logLevel = "info";
 };
 
--- a/src/core/flow/flowcontroller.h
+++ b/src/core/flow/flowcontroller.h
@@ -54,6 +54,7 @@
 
     /// Returns the store call that is due, or nothing.
     std::optional<StoreCall> nextCall(Milliseconds now);
+    /// Takes the end of the call that nextCall() returned.
     void handleReply(const StoreReply &reply, Milliseconds now);
     /// Takes what a peer read. News that does not connect to what is known leads to a read.
     void handleNews(const DirectoryNews &news, Milliseconds now);
@@ -62,6 +63,7 @@
     void setReader(bool isReader) { m_reader.setFollower(!isReader); }
     /// Returns what the last answer of the store changed or confirmed, once, or nothing.
     std::optional<DirectoryNews> takeNews(Milliseconds now);
+    /// Ends confirmation times and forgets old records; call about every 100 ms.
     void tick(Milliseconds now);
 
     /// Returns a new view if anything changed since the last one, or null.
--- a/src/core/flow/flowrouter.h
+++ b/src/core/flow/flowrouter.h
@@ -36,10 +36,12 @@
 
     /// Takes a new view. Precondition: @p view is not null.
     void handleView(std::shared_ptr<const FlowView> view);
+    /// Decides about one packet of a client and learns from it.
     FlowDecision handlePacket(const FlowPacket &packet, Milliseconds now);
     /// Takes the result of a connection attempt. Returns the last packets of flows to reset: their
     /// upstream cannot be reached, and their clients may ask another one.
     std::vector<FlowPacket> handleProbe(UpstreamKey upstream, bool isReachable, Milliseconds now);
+    /// Forgets ended flows and smooths averages; call about every 100 ms.
     void tick(Milliseconds now);
 
     const FlowView &view() const { return *m_view; }
--- a/src/core/flow/peercontroller.h
+++ b/src/core/flow/peercontroller.h
@@ -37,12 +37,15 @@
     PeerController(const MemberUpdate &self, DataCentreId region, std::vector<Endpoint> seeds,
                    const ControlHooks &hooks);
 
+    /// Probes members and spreads what is new about them; call about every 100 ms.
     PeerActions tick(Milliseconds now);
+    /// Takes a datagram from @p from; one of another region is ignored.
     PeerActions handleDatagram(const ControlDatagram &datagram, Endpoint from, Milliseconds now);
     /// Sends news of this instance.
     PeerActions publish(DirectoryNews news);
     /// Passes on news of another instance, each once, as views of the tree may differ for a while.
     PeerActions passOn(const DirectoryNews &news, Milliseconds now);
+    /// Tells the others that this instance stops; it is no reader from now on.
     void beginLeaving();
 
     /// True if this instance reads for the region.
--- a/src/core/flow/storechange.h
+++ b/src/core/flow/storechange.h
@@ -25,11 +25,13 @@
     std::string mistake;
 };
 
+using StoreContent = std::variant<UpstreamEntry, UpstreamRemoval, DeclaredRoutes>;
+
 /// An item of the store as it was written at a revision.
 struct StoreChange
 {
     Revision revision;
-    std::variant<UpstreamEntry, UpstreamRemoval, DeclaredRoutes> content;
+    StoreContent content;
 };
 
 } // namespace damaskhall
--- a/src/core/flow/storereader.cpp
+++ b/src/core/flow/storereader.cpp
@@ -55,8 +55,8 @@
     m_startedAt = now;
     if (isDeclarationDue) {
         call.kind = StoreCall::Kind::Declaration;
-        call.mayBeOld = !m_wasOldDeclaration;
-        m_wasOldDeclaration = true;
+        call.mayBeOld = !m_hasAskedOld;
+        m_hasAskedOld = true;
     } else if (m_isFollowing) {
         call.kind = StoreCall::Kind::Watch;
         call.after = m_after;
@@ -92,6 +92,8 @@
         return;
     }
     if (m_kind == StoreCall::Kind::Declaration) {
+        // If it was too old or cannot be read, it is asked for again, but not at once.
+        m_due = now + RetryDelay;
         return;
     }
     m_isImpatient = false;
@@ -132,7 +134,7 @@
 {
     if (revision > m_wantedDeclaration) {
         m_wantedDeclaration = revision;
-        m_wasOldDeclaration = false;
+        m_hasAskedOld = false;
     }
 }
 
--- a/src/core/flow/storereader.h
+++ b/src/core/flow/storereader.h
@@ -118,7 +118,8 @@
     bool m_isImpatient = false;
     Revision m_declaration;
     Revision m_wantedDeclaration;
-    bool m_wasOldDeclaration = false;
+    /// The cheap read, which may be old, was made.
+    bool m_hasAskedOld = false;
 };
 
 } // namespace damaskhall
--- a/tests/config/forwardersettings_test.cpp
+++ b/tests/config/forwardersettings_test.cpp
@@ -19,7 +19,6 @@
 flow_lifetime = 60 s
 stop_limit = 6 s
 confirmation = 2 s
-heartbeat = 1200 ms
 )";
 
 ForwarderSettings check(const std::string &text, Diagnostics &diagnostics)
@@ -52,7 +51,7 @@
 TEST(ForwarderSettingsTest, ReportsAllMistakesWithTheirLines)
 {
     Diagnostics diagnostics("front.ini");
-    check("[forwarder]\nname = a b\nlisten = nowhere\nlistn = 1.2.3.4:5\nheartbeat = 0 ms\n"
+    check("[forwarder]\nname = a b\nlisten = nowhere\nlistn = 1.2.3.4:5\nconfirmation = 0 ms\n"
           "log_level = loud\n[other]\n",
           diagnostics);
     const std::string text = diagnostics.text();
--- a/tests/core/flow/storereader_test.cpp
+++ b/tests/core/flow/storereader_test.cpp
@@ -87,6 +87,30 @@
     EXPECT_FALSE(reader.isAway());
 }
 
+// Guards against a follower that asks for a declaration without end, as fast as the store answers.
+TEST_F(StoreReaderTest, AsksForADeclarationCheaplyFirstAndNotWithoutPause)
+{
+    await();
+    end(StoreOutcome::Done, 100);
+    reader.setFollower(true);
+    reader.wantDeclaration({7});
+    const StoreCall cheap = await();
+    EXPECT_EQ(cheap.kind, StoreCall::Kind::Declaration);
+    EXPECT_TRUE(cheap.mayBeOld);
+    Milliseconds asked = now;
+    end(StoreOutcome::Done);
+    EXPECT_FALSE(await().mayBeOld);
+    EXPECT_GE(now - asked, 100_ms);
+    asked = now;
+    end(StoreOutcome::Done);
+    EXPECT_EQ(await().kind, StoreCall::Kind::Declaration);
+    EXPECT_GE(now - asked, 100_ms);
+    reader.setDeclaration({7});
+    end(StoreOutcome::Done);
+    reader.handleNews({120}, now);
+    EXPECT_FALSE(reader.next(now + 1_s)) << "peers read";
+}
+
 // Guards against a second call while one is under way.
 TEST_F(StoreReaderTest, MakesOneCallAtATime)
 {
--- a/tests/processes/forwarder_test.cpp
+++ b/tests/processes/forwarder_test.cpp
@@ -106,7 +106,7 @@
                  << "\npeer_listen = " << toString(free())
                  << "\nseeds =\nstore = " << toString(m_store.endpoint())
                  << "\nleaving_limit = 3 s\ndeclaration_limit = 3 s\nflow_lifetime = 60 s\n"
-                 << "stop_limit = 6 s\nconfirmation = 2 s\nheartbeat = 1200 ms\n";
+                 << "stop_limit = 6 s\nconfirmation = 2 s\n";
         settings.close();
         start();
     }
