--- a/src/core/flow/flowtable.cpp
+++ b/src/core/flow/flowtable.cpp
@@ -67,7 +67,6 @@
     flow.upstream = upstream.key;
     flow.account = m_d->ledger.open(upstream);
     flow.phase = phase;
-    flow.openedAt = now;
     flow.lastSeen = now;
     flow.lastOpeningAt = now;
     m_d->count(flow, 1);
--- a/src/core/flow/flowtable.h
+++ b/src/core/flow/flowtable.h
@@ -29,7 +29,6 @@
     bool isIdempotent = false;
     /// The opening or request under way counts as load of the upstream.
     bool isCounted = true;
-    Milliseconds openedAt;
     Milliseconds lastSeen;
     /// Last time that an opening packet was forwarded.
     Milliseconds lastOpeningAt;
--- a/src/core/flow/upstreamledger.h
+++ b/src/core/flow/upstreamledger.h
@@ -39,8 +39,6 @@
     /// Smoothed time from request to answer in milliseconds; zero: no sample yet.
     double answerTime = 0;
     Milliseconds sampledAt;
-
-    std::uint32_t inFlight() const { return busyFlows + openingFlows; }
 };
 
 /// Accounts of all upstreams as one traffic thread sees them. Thread safety: none.
