Wait for large answers of the store as long as they proceed

Each instance lists 1.3 MB in six pages; together they fill the store's link, each page takes longer than the 1.5 s of the call, is cut off and asked for again. Ruled out: the membership (an instance without peers reads the store itself); the store's call rate (1,800 pages, 6,000 calls a second are allowed). Change: the time limit of an HttpChannel is the longest time without progress; the whole answer may take ten times as long. Test: WaitsAsLongAsAnAnswerProceeds, failed before.

--- a/src/io/httpchannel.cpp
+++ b/src/io/httpchannel.cpp
@@ -1,10 +1,12 @@
 #include "io/httpchannel.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <chrono>
 #include <http_parser.h>
 #include <utility>
 
@@ -15,6 +17,9 @@
 /// Above the largest answer of a platform: pages are bounded at about 1 MB before encoding.
 constexpr std::size_t MaxReplyBytes = std::size_t{16} * 1024 * 1024;
 constexpr std::size_t ReadBufferBytes = 16'384;
+/// Time limits within which a whole answer arrives, if each of its parts arrives within one: 1 MB
+/// at a twentieth of a link of 10 Mbit/s takes 16 s.
+constexpr int MaxAnswerTimeouts = 10;
 
 } // namespace
 
@@ -55,12 +60,9 @@
         }
         output += "\r\n" + request.body;
         const std::uint64_t current = ++attempt;
-        timer.expires_after(std::chrono::milliseconds(timeout.value));
-        timer.async_wait([self = shared_from_this(), current](const std::error_code &error) {
-            if (!error && self->attempt == current && self->handler) {
-                self->fail(ErrorCode::Timeout, "no answer in time");
-            }
-        });
+        patience = std::chrono::milliseconds(timeout.value);
+        limit = std::chrono::steady_clock::now() + patience * MaxAnswerTimeouts;
+        awaitProgress(current);
         if (socket.is_open()) {
             write(current);
         } else {
@@ -68,6 +70,18 @@
         }
     }
 
+    // A large answer over a busy link takes longer than a small one, and asking again would only
+    // add to the load; an answer that proceeds is waited for.
+    void awaitProgress(std::uint64_t current)
+    {
+        timer.expires_at(std::min(std::chrono::steady_clock::now() + patience, limit));
+        timer.async_wait([self = shared_from_this(), current](const std::error_code &error) {
+            if (!error && self->attempt == current && self->handler) {
+                self->fail(ErrorCode::Timeout, "no answer in time");
+            }
+        });
+    }
+
     void connect(std::uint64_t current)
     {
         const asio::ip::tcp::endpoint target(asio::ip::address_v4(server.address), server.port);
@@ -132,6 +146,7 @@
                  http_errno_description(code));
             return;
         }
+        awaitProgress(current);
         read(current);
     }
 
@@ -166,6 +181,9 @@
     Step step;
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
+    std::chrono::steady_clock::duration patience{};
+    /// End of the request, however slowly its answer arrives.
+    std::chrono::steady_clock::time_point limit;
     http_parser_settings settings{};
     http_parser parser{};
     Handler handler;
--- a/src/io/httpchannel.h
+++ b/src/io/httpchannel.h
@@ -45,7 +45,8 @@
     HttpChannel &operator=(const HttpChannel &) = delete;
 
     /// Sends a request and calls @p handler once, later, with the reply or the error: Unreachable,
-    /// Timeout, Oversized (above 16 MiB) or Malformed. Precondition: no request is under way.
+    /// Timeout, Oversized (above 16 MiB) or Malformed. @p timeout: longest time without any part
+    /// of the answer; the whole may take ten times as long. Precondition: no request is under way.
     void request(const HttpChannelRequest &request, Milliseconds timeout, Handler handler);
 
 private:
--- a/tests/io/httpchannel_test.cpp
+++ b/tests/io/httpchannel_test.cpp
@@ -66,6 +66,18 @@
     EXPECT_EQ(server.connections(), 2);
 }
 
+// Guards against large answers that are cut off and asked for again, without end, because many
+// instances read at the same time.
+TEST_F(HttpChannelTest, WaitsAsLongAsAnAnswerProceeds)
+{
+    answer = RawServer::ok(std::string(300, 'x'));
+    server.sendSlowly(50, std::chrono::milliseconds(100));
+    const auto reply = call(channel);
+    ASSERT_TRUE(reply) << toString(reply.assume_error());
+    EXPECT_EQ(reply.assume_value().body.size(), 300U);
+    EXPECT_EQ(server.connections(), 1);
+}
+
 // Guards against half an answer that is taken for a whole one.
 TEST_F(HttpChannelTest, ReportsPartialAndBrokenAnswers)
 {
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -5,9 +5,12 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read_until.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
+#include <chrono>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <utility>
@@ -37,6 +40,13 @@
 
     int connections() const { return m_connections; }
 
+    /// Sends answers in parts of @p bytes with a pause before each part.
+    void sendSlowly(std::size_t bytes, std::chrono::milliseconds pause)
+    {
+        m_partBytes = bytes;
+        m_pause = pause;
+    }
+
     /// Returns an answer with @p body.
     static std::string ok(const std::string &body, const std::string &status = "200 OK")
     {
@@ -49,12 +59,15 @@
     {
         explicit Connection(asio::ip::tcp::socket accepted)
             : socket(std::move(accepted))
+            , timer(socket.get_executor())
         {
         }
 
         asio::ip::tcp::socket socket;
+        asio::steady_timer timer;
         asio::streambuf input;
         std::string output;
+        std::size_t sent = 0;
     };
 
     void accept()
@@ -85,19 +98,38 @@
                         connection->socket.close();
                         return;
                     }
-                    asio::async_write(
-                            connection->socket, asio::buffer(connection->output),
-                            [this, connection](const std::error_code &failed, std::size_t) {
-                                if (!failed) {
-                                    read(connection);
-                                }
-                            });
+                    connection->sent = 0;
+                    write(connection);
                 });
     }
 
+    void write(const std::shared_ptr<Connection> &connection)
+    {
+        connection->timer.expires_after(m_pause);
+        connection->timer.async_wait([this, connection](const std::error_code &) {
+            const auto part =
+                    asio::buffer(asio::buffer(connection->output) + connection->sent, m_partBytes);
+            asio::async_write(
+                    connection->socket, part,
+                    [this, connection](const std::error_code &failed, std::size_t length) {
+                        connection->sent += length;
+                        if (failed) {
+                            return;
+                        }
+                        if (connection->sent < connection->output.size()) {
+                            write(connection);
+                        } else {
+                            read(connection);
+                        }
+                    });
+        });
+    }
+
     asio::ip::tcp::acceptor m_acceptor;
     Answer m_answer;
     int m_connections = 0;
+    std::size_t m_partBytes = std::numeric_limits<std::size_t>::max();
+    std::chrono::milliseconds m_pause{0};
 };
 
 } // namespace damaskhall::test
