--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -20,6 +20,13 @@
         m_listed.clear();
         m_listRevision = {};
     }
+    if (call && call->kind == StoreCall::Kind::SaveSnapshot) {
+        auto snapshot = std::make_shared<DirectoryNews>();
+        snapshot->to = m_reader.revision();
+        snapshot->declaration = revision();
+        snapshot->changes = m_directory.entries(now);
+        call->snapshot = std::move(snapshot);
+    }
     if (call) {
         m_pending = call->kind;
     }
@@ -28,29 +35,78 @@
 
 void FlowController::handleReply(const StoreReply &reply, Milliseconds now)
 {
-    const bool isList = m_pending == StoreCall::Kind::List;
-    const bool isDeclaration = m_pending == StoreCall::Kind::Declaration;
-    m_reader.handleEnd(reply.outcome, reply.asOf, reply.nextPage, now);
+    const bool wasFollowing = m_reader.isFollowing();
+    const Revision asOf = reply.snapshot ? reply.snapshot->to : reply.asOf;
+    m_reader.handleEnd(reply.outcome, asOf, reply.nextPage, now);
     reportStoreChange(reply.detail, now);
     if (reply.outcome != StoreOutcome::Done) {
         return;
     }
-    for (const StoreChange &change : reply.changes) {
+    switch (m_pending) {
+    case StoreCall::Kind::Snapshot:
+        takeSnapshot(reply, now);
+        return;
+    case StoreCall::Kind::SaveSnapshot:
+        return;
+    case StoreCall::Kind::List:
+        takePage(reply, now);
+        break;
+    case StoreCall::Kind::Watch:
+        if (!wasFollowing) {
+            endList(now);
+        }
+        [[fallthrough]];
+    case StoreCall::Kind::Declaration:
+        for (const StoreChange &change : reply.changes) {
+            take(change, now);
+        }
+        break;
+    }
+    m_reader.setDirectorySize(m_directory.presentCount());
+    m_hasNews = m_hasNews || m_pending != StoreCall::Kind::Declaration;
+}
+
+// Nothing is complete before the changes since the snapshot are known: an upstream that is leaving
+// by now would get new flows.
+void FlowController::takeSnapshot(const StoreReply &reply, Milliseconds now)
+{
+    if (!reply.detail.empty()) {
+        m_hooks.reportMistake(reply.detail, reply.asOf);
+    }
+    if (!reply.snapshot) {
+        return;
+    }
+    m_listed.clear();
+    m_listRevision = reply.snapshot->to;
+    for (const StoreChange &change : reply.snapshot->changes) {
         take(change, now);
-        if (const auto *entry = std::get_if<UpstreamEntry>(&change.content); entry && isList) {
+        if (const auto *entry = std::get_if<UpstreamEntry>(&change.content)) {
             m_listed.push_back(entry->key.id);
         }
     }
-    m_hasNews = m_hasNews || !isDeclaration;
-    if (isList) {
-        m_listRevision = m_listRevision == Revision{} ? reply.asOf : m_listRevision;
-        if (!reply.nextPage) {
-            m_directory.handleListEnd(std::exchange(m_listed, {}), m_listRevision, now);
-            // What a list removed is not known change by change.
-            m_recent.clear();
-            m_recentFrom = m_listRevision;
+    m_reader.wantDeclaration(reply.snapshot->declaration);
+}
+
+void FlowController::takePage(const StoreReply &reply, Milliseconds now)
+{
+    for (const StoreChange &change : reply.changes) {
+        take(change, now);
+        if (const auto *entry = std::get_if<UpstreamEntry>(&change.content)) {
+            m_listed.push_back(entry->key.id);
         }
     }
+    m_listRevision = m_listRevision == Revision{} ? reply.asOf : m_listRevision;
+    if (!reply.nextPage) {
+        endList(now);
+    }
+}
+
+void FlowController::endList(Milliseconds now)
+{
+    m_directory.handleListEnd(std::exchange(m_listed, {}), m_listRevision, now);
+    // What a list removed is not known change by change.
+    m_recent.clear();
+    m_recentFrom = m_listRevision;
 }
 
 void FlowController::take(const StoreChange &change, Milliseconds now)
@@ -76,6 +132,10 @@
         }
         return;
     }
+    if (std::holds_alternative<SnapshotSaved>(change.content)) {
+        m_reader.handleSnapshotSaved(now);
+        return;
+    }
     takeDeclaration(std::get<DeclaredRoutes>(change.content), change.revision);
 }
 
--- a/src/core/flow/flowcontroller.h
+++ b/src/core/flow/flowcontroller.h
@@ -20,9 +20,11 @@
     StoreOutcome outcome = StoreOutcome::Unanswered;
     Revision asOf;
     std::vector<StoreChange> changes;
+    /// Answer to a Snapshot call; nothing if there is none.
+    std::optional<DirectoryNews> snapshot;
     /// Key after which the next page begins.
     std::optional<std::string> nextPage;
-    /// What went wrong, for the log.
+    /// What went wrong, for the log. A snapshot that cannot be read is Done with a detail.
     std::string detail;
 };
 
@@ -77,6 +79,9 @@
 
 private:
     void take(const StoreChange &change, Milliseconds now);
+    void takeSnapshot(const StoreReply &reply, Milliseconds now);
+    void takePage(const StoreReply &reply, Milliseconds now);
+    void endList(Milliseconds now);
     void takeDeclaration(const DeclaredRoutes &declared, Revision revision);
     void reportStoreChange(const std::string &detail, Milliseconds now);
     bool isCurrent(Milliseconds now) const;
@@ -87,7 +92,7 @@
     StoreReader m_reader;
     UpstreamDirectory m_directory;
     std::shared_ptr<const RouteTable> m_routes;
-    /// Ids seen on the pages of the list under way.
+    /// Ids seen on the pages of the list under way, or in the snapshot.
     std::vector<UpstreamId> m_listed;
     Revision m_listRevision;
     StoreCall::Kind m_pending = StoreCall::Kind::List;
--- a/src/core/flow/flowview.cpp
+++ b/src/core/flow/flowview.cpp
@@ -10,6 +10,7 @@
 
 /// Stands for a computed cookie of zero, which would mean "none".
 constexpr std::uint32_t ZeroSubstitute = 0x5eed5eed;
+const std::vector<std::uint32_t> NoCandidates;
 
 std::uint32_t upstreamPart(UpstreamKey upstream)
 {
@@ -43,7 +44,9 @@
         m_cookies.push_back({upstreamPart(record.entry.key), i});
         if (record.standing == UpstreamStanding::Ready ||
             record.standing == UpstreamStanding::Unconfirmed) {
-            m_candidates[record.entry.service].push_back(i);
+            Candidates &candidates = m_candidates[record.entry.service];
+            candidates.all.push_back(i);
+            candidates.byDataCentre[record.entry.dataCentre].push_back(i);
         }
     }
     std::sort(m_cookies.begin(), m_cookies.end(),
@@ -84,9 +87,19 @@
 
 const std::vector<std::uint32_t> &FlowView::candidates(ServiceId service) const
 {
-    static const std::vector<std::uint32_t> none;
     const auto found = m_candidates.find(service);
-    return found == m_candidates.end() ? none : found->second;
+    return found == m_candidates.end() ? NoCandidates : found->second.all;
+}
+
+const std::vector<std::uint32_t> &FlowView::candidates(ServiceId service,
+                                                       DataCentreId dataCentre) const
+{
+    const auto found = m_candidates.find(service);
+    if (found == m_candidates.end()) {
+        return NoCandidates;
+    }
+    const auto own = found->second.byDataCentre.find(dataCentre);
+    return own == found->second.byDataCentre.end() ? NoCandidates : own->second;
 }
 
 } // namespace damaskhall
--- a/src/core/flow/flowview.h
+++ b/src/core/flow/flowview.h
@@ -4,6 +4,7 @@
 #include "core/flow/routetable.h"
 #include "core/flow/upstreamentry.h"
 
+#include <map>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -41,8 +42,16 @@
     const UpstreamRecord *findByCookie(FlowCookie cookie, Endpoint route) const;
     /// Returns the upstreams of a service that may get new flows, as indices into upstreams().
     const std::vector<std::uint32_t> &candidates(ServiceId service) const;
+    /// Returns those of one data centre.
+    const std::vector<std::uint32_t> &candidates(ServiceId service, DataCentreId dataCentre) const;
 
 private:
+    struct Candidates
+    {
+        std::vector<std::uint32_t> all;
+        std::map<DataCentreId, std::vector<std::uint32_t>> byDataCentre;
+    };
+
     struct CookieIndex
     {
         /// Cookie without the part that depends on the route.
@@ -55,7 +64,7 @@
     bool m_isCurrent = false;
     /// Sorted by base.
     std::vector<CookieIndex> m_cookies;
-    std::unordered_map<ServiceId, std::vector<std::uint32_t>> m_candidates;
+    std::unordered_map<ServiceId, Candidates> m_candidates;
 };
 
 } // namespace damaskhall
--- a/src/core/flow/placement.cpp
+++ b/src/core/flow/placement.cpp
@@ -23,20 +23,13 @@
 constexpr Milliseconds SampleLifetime = 3_s;
 /// Work per slot that an upstream of another data centre must have less than one of the own.
 constexpr double RemotePenalty = 2.0;
+/// Upstreams of the own data centre, and of all, that a new flow is weighed for: the cheapest of
+/// this many is within the noise of the cheapest of all, and a choice costs the same in any fleet.
+constexpr std::size_t OwnSample = 40;
+constexpr std::size_t RemoteSample = 16;
 /// Share of the cost that is random, so that balancers with the same view choose differently.
 constexpr double JitterShare = 0.15;
 
-/// Order in which upstreams are considered; a lower class wins whatever the load.
-enum class Suitability : std::uint8_t {
-    Good,
-    /// Its entry lapsed while the platform was away.
-    Unconfirmed,
-    /// It left opening packets unanswered.
-    Silent,
-    /// The caller asks for another one.
-    Avoided,
-};
-
 bool isRetryDue(const UpstreamAccount &account, Milliseconds now)
 {
     const std::uint32_t doublings = std::min(account.failedTries, MaxRetryDoublings);
@@ -81,36 +74,58 @@
     return (load + 0.5) * factor / record.entry.slots;
 }
 
+void Placement::consider(Search &search, const std::vector<std::uint32_t> &candidates,
+                         std::size_t most) const
+{
+    const std::size_t count = std::min(candidates.size(), most);
+    // Records are sorted by id, which says nothing of the load, so neighbours are a fair sample.
+    std::size_t next =
+            count < candidates.size() ? randomBelow(search.random, candidates.size()) : 0;
+    for (std::size_t i = 0; i < count; ++i) {
+        consider(search, search.view.upstreams()[candidates[next]]);
+        next = next + 1 == candidates.size() ? 0 : next + 1;
+    }
+}
+
+void Placement::consider(Search &search, const UpstreamRecord &record) const
+{
+    const UpstreamAccount *account = search.ledger.find(record.entry.key);
+    Suitability suitability = Suitability::Good;
+    if (search.avoided == record.entry.key) {
+        suitability = Suitability::Avoided;
+    } else if (account && isSilent(*account, search.now) && !isRetryDue(*account, search.now)) {
+        suitability = Suitability::Silent;
+    } else if (record.standing == UpstreamStanding::Unconfirmed) {
+        suitability = Suitability::Unconfirmed;
+    }
+    double price = cost(record, search.ledger, search.now);
+    if (record.entry.dataCentre != m_dataCentre) {
+        price += RemotePenalty;
+    }
+    price *= 1.0 + JitterShare * randomUnit(search.random);
+    if (!search.best || suitability < search.suitability ||
+        (suitability == search.suitability && price < search.price)) {
+        search.best = &record;
+        search.suitability = suitability;
+        search.price = price;
+    }
+}
+
 const UpstreamRecord *Placement::choose(const FlowView &view, const UpstreamLedger &ledger,
                                         ServiceId service, std::optional<UpstreamKey> avoided,
                                         Milliseconds now, const RandomSource &random) const
 {
-    const UpstreamRecord *best = nullptr;
-    Suitability bestClass = Suitability::Avoided;
-    double bestCost = std::numeric_limits<double>::max();
-    for (const std::uint32_t index : view.candidates(service)) {
-        const UpstreamRecord &record = view.upstreams()[index];
-        const UpstreamAccount *account = ledger.find(record.entry.key);
-        Suitability suitability = Suitability::Good;
-        if (avoided == record.entry.key) {
-            suitability = Suitability::Avoided;
-        } else if (account && isSilent(*account, now) && !isRetryDue(*account, now)) {
-            suitability = Suitability::Silent;
-        } else if (record.standing == UpstreamStanding::Unconfirmed) {
-            suitability = Suitability::Unconfirmed;
-        }
-        double price = cost(record, ledger, now);
-        if (record.entry.dataCentre != m_dataCentre) {
-            price += RemotePenalty;
-        }
-        price *= 1.0 + JitterShare * randomUnit(random);
-        if (!best || suitability < bestClass || (suitability == bestClass && price < bestCost)) {
-            best = &record;
-            bestClass = suitability;
-            bestCost = price;
+    Search search{view, ledger, avoided, now, random};
+    const std::vector<std::uint32_t> &all = view.candidates(service);
+    if (all.size() > OwnSample + RemoteSample) {
+        consider(search, view.candidates(service, m_dataCentre), OwnSample);
+        consider(search, all, RemoteSample);
+        if (search.best && search.suitability == Suitability::Good) {
+            return search.best;
         }
     }
-    return best;
+    consider(search, all, all.size());
+    return search.best;
 }
 
 } // namespace damaskhall
--- a/src/core/flow/storechange.h
+++ b/src/core/flow/storechange.h
@@ -25,7 +25,12 @@
     std::string mistake;
 };
 
-using StoreContent = std::variant<UpstreamEntry, UpstreamRemoval, DeclaredRoutes>;
+/// An instance saved a snapshot of the directory.
+struct SnapshotSaved
+{
+};
+
+using StoreContent = std::variant<UpstreamEntry, UpstreamRemoval, DeclaredRoutes, SnapshotSaved>;
 
 /// An item of the store as it was written at a revision.
 struct StoreChange
--- a/src/core/flow/storereader.cpp
+++ b/src/core/flow/storereader.cpp
@@ -16,6 +16,13 @@
 /// two readers confirm once a pace each, so their news has failed to come several times by then.
 constexpr double FollowerPatience = 1.25;
 constexpr double PatienceSpread = 0.5;
+/// Upstreams that the store lists in one page; a snapshot would not be cheaper than that.
+constexpr std::size_t UpstreamsPerPage = 500;
+/// Age at which a snapshot is replaced: a quarter of the 20 s for which platforms keep changes, as
+/// whoever reads it needs the changes since.
+constexpr Milliseconds SnapshotInterval = 5_s;
+/// Upper end of a random delay, within which the first of several readers saves for all.
+constexpr Milliseconds SnapshotSpread = 2_s;
 
 } // namespace
 
@@ -47,31 +54,55 @@
         return std::nullopt;
     }
     StoreCall call;
-    const bool isDeclarationDue = m_isFollowing && m_wantedDeclaration > m_declaration;
+    const bool isDeclarationDue = isFollowing() && m_wantedDeclaration > m_declaration;
     if (!isDeclarationDue && isLeftToOthers(now)) {
         return std::nullopt;
     }
     m_isPending = true;
     m_startedAt = now;
-    if (isDeclarationDue) {
+    if (m_phase == Phase::Snapshot) {
+        call.kind = StoreCall::Kind::Snapshot;
+    } else if (m_phase == Phase::List) {
+        call.pageAfter = m_page;
+    } else if (isDeclarationDue) {
         call.kind = StoreCall::Kind::Declaration;
         call.mayBeOld = !m_hasAskedOld;
         m_hasAskedOld = true;
-    } else if (m_isFollowing) {
+    } else if (isSnapshotDue(now)) {
+        call.kind = StoreCall::Kind::SaveSnapshot;
+    } else {
         call.kind = StoreCall::Kind::Watch;
         call.after = m_after;
-        call.wait = m_times.wait;
-    } else {
-        call.pageAfter = m_page;
+        call.wait = m_phase == Phase::CatchUp ? 0_ms : m_times.wait;
     }
     m_kind = call.kind;
     return call;
 }
 
+bool StoreReader::isSnapshotDue(Milliseconds now) const
+{
+    return isFollowing() && !m_isFollower && m_directorySize > UpstreamsPerPage &&
+           now >= m_snapshotDue;
+}
+
+void StoreReader::handleSnapshotSaved(Milliseconds now)
+{
+    const auto spread = static_cast<std::uint64_t>(SnapshotSpread.value);
+    m_snapshotDue = now + SnapshotInterval +
+                    Milliseconds{static_cast<std::int64_t>(randomBelow(m_random, spread))};
+}
+
 void StoreReader::handleEnd(StoreOutcome outcome, Revision asOf,
                             std::optional<std::string> nextPage, Milliseconds now)
 {
     m_isPending = false;
+    if (m_kind == StoreCall::Kind::SaveSnapshot) {
+        // Another instance saves it if this one may not; reading goes first.
+        handleSnapshotSaved(now);
+        if (outcome != StoreOutcome::Unanswered) {
+            return;
+        }
+    }
     if (outcome == StoreOutcome::Refused || outcome == StoreOutcome::Unanswered) {
         const Milliseconds delay =
                 std::min(RetryDelay * (1 << std::min(m_failures, MaxDoublings)), MaxRetryDelay);
@@ -82,24 +113,28 @@
     }
     m_failures = 0;
     m_due = now;
-    if (m_kind != StoreCall::Kind::Declaration) {
-        m_confirmedAt = now;
+    if (m_kind == StoreCall::Kind::Declaration) {
+        // If it was too old or cannot be read, it is asked for again, but not at once.
+        m_due = now + RetryDelay;
+        return;
+    }
+    if (m_kind == StoreCall::Kind::Snapshot) {
+        m_phase = asOf == Revision{} ? Phase::List : Phase::CatchUp;
+        m_after = asOf;
+        return;
     }
+    m_confirmedAt = now;
     if (outcome == StoreOutcome::HistoryLost) {
-        m_isFollowing = false;
+        // A snapshot that is too old will not do the second time.
+        m_phase = m_phase == Phase::CatchUp ? Phase::List : Phase::Snapshot;
         m_listRevision.reset();
         m_page.clear();
         return;
     }
-    if (m_kind == StoreCall::Kind::Declaration) {
-        // If it was too old or cannot be read, it is asked for again, but not at once.
-        m_due = now + RetryDelay;
-        return;
-    }
-    m_isImpatient = false;
     if (m_kind == StoreCall::Kind::Watch) {
-        m_after = std::max(m_after, asOf);
-        m_due = std::max(now, m_startedAt + m_times.pace);
+        const bool isCaughtUp = m_phase == Phase::CatchUp;
+        beginFollowing(std::max(m_after, asOf), now);
+        m_due = isCaughtUp ? now : std::max(now, m_startedAt + m_times.pace);
         return;
     }
     m_listRevision = m_listRevision ? *m_listRevision : asOf;
@@ -107,15 +142,24 @@
         m_page = *nextPage;
         return;
     }
-    m_isFollowing = true;
-    m_after = *m_listRevision;
+    beginFollowing(*m_listRevision, now);
     m_listRevision.reset();
     m_page.clear();
 }
 
+void StoreReader::beginFollowing(Revision revision, Milliseconds now)
+{
+    m_isImpatient = false;
+    m_after = revision;
+    if (!isFollowing()) {
+        m_phase = Phase::Following;
+        handleSnapshotSaved(now);
+    }
+}
+
 bool StoreReader::isLeftToOthers(Milliseconds now) const
 {
-    if (!m_isFollower || !m_isFollowing || m_isImpatient || !m_confirmedAt) {
+    if (!m_isFollower || !isFollowing() || m_isImpatient || !m_confirmedAt) {
         return false;
     }
     const double patience = m_patience * static_cast<double>(m_times.pace.value);
--- a/src/core/flow/storereader.h
+++ b/src/core/flow/storereader.h
@@ -3,24 +3,30 @@
 #include "base/ids.h"
 #include "base/milliseconds.h"
 #include "base/random.h"
+#include "core/flow/directorynews.h"
 
 #include <algorithm>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
 namespace damaskhall {
 
-/// Read of the platform's store. Thread safety: a plain value.
+/// Call to the platform's store. Thread safety: a plain value.
 struct StoreCall
 {
     enum class Kind : std::uint8_t {
+        /// The latest snapshot of the directory; an older one will do.
+        Snapshot,
         /// One page of all items.
         List,
         /// Changes since a revision; waits for one.
         Watch,
         /// The declaration alone.
         Declaration,
+        /// Writes a snapshot of the directory.
+        SaveSnapshot,
     };
 
     Kind kind = Kind::List;
@@ -32,6 +38,8 @@
     Milliseconds wait;
     /// Declaration: an older one will do, which costs the store less.
     bool mayBeOld = false;
+    /// SaveSnapshot: every upstream that has an entry, as news since the beginning.
+    std::shared_ptr<const DirectoryNews> snapshot;
 };
 
 /// How a read ended.
@@ -48,8 +56,13 @@
 /// Returns the name in lower case with underscores. Thread safety: reentrant.
 std::string_view toString(StoreOutcome outcome);
 
-/// Decides when the store is read: lists once, then follows the changes, at a bounded rate. Lists
-/// again when changes were lost. Failed reads are repeated after a jittered exponential delay.
+/// Decides when the store is read: takes a snapshot of the directory and the changes since, or
+/// lists all items if there is none, then follows the changes at a bounded rate. Begins again when
+/// changes were lost. Failed reads are repeated after a jittered exponential delay.
+///
+/// Snapshots answer the load pattern of many instances that start at once in a large fleet: all
+/// lists together would fill the store's link for seconds. Only readers of a directory of more than
+/// one page save them.
 /// Deterministic. Thread safety: none.
 class StoreReader
 {
@@ -67,7 +80,8 @@
     /// Returns the call that is due, or nothing. The caller reports its end with handleEnd().
     std::optional<StoreCall> next(Milliseconds now);
     /// Takes the end of the call. @p asOf: revision that the answer reflects. @p nextPage: key
-    /// after which the next page of a list begins, if there is one.
+    /// after which the next page of a list begins, if there is one. A snapshot that does not exist
+    /// has no revision.
     void handleEnd(StoreOutcome outcome, Revision asOf, std::optional<std::string> nextPage,
                    Milliseconds now);
 
@@ -84,6 +98,10 @@
     }
     /// Asks for the declaration until @p revision or a newer one is in force.
     void wantDeclaration(Revision revision);
+    /// Sets how many upstreams have an entry, which decides whether snapshots are worth saving.
+    void setDirectorySize(std::size_t size) { m_directorySize = size; }
+    /// Takes notice that some instance has saved a snapshot.
+    void handleSnapshotSaved(Milliseconds now);
     /// Tells which declaration is in force.
     void setDeclaration(Revision revision) { m_declaration = revision; }
     /// Revision up to which all changes are known.
@@ -92,18 +110,34 @@
     bool isAway() const { return m_failures > 0; }
     /// Time of the last answer that was not a failure.
     std::optional<Milliseconds> confirmedAt() const { return m_confirmedAt; }
-    /// True if a list was read to its end since the changes were last lost.
-    bool isFollowing() const { return m_isFollowing; }
+    /// True if all changes up to revision() are known.
+    bool isFollowing() const { return m_phase == Phase::Following; }
 
 private:
+    /// How far the directory is known.
+    enum class Phase : std::uint8_t {
+        /// Nothing yet: a snapshot is asked for.
+        Snapshot,
+        /// The changes since the snapshot are missing.
+        CatchUp,
+        /// There is no snapshot, or it is too old: all items are listed.
+        List,
+        /// All changes are known.
+        Following,
+    };
+
     bool isLeftToOthers(Milliseconds now) const;
+    bool isSnapshotDue(Milliseconds now) const;
+    void beginFollowing(Revision revision, Milliseconds now);
 
     Times m_times;
     RandomSource m_random;
     /// Different for each instance, so that followers do not all read at once.
     double m_patience = 1;
     bool m_isPending = false;
-    bool m_isFollowing = false;
+    Phase m_phase = Phase::Snapshot;
+    std::size_t m_directorySize = 0;
+    Milliseconds m_snapshotDue;
     StoreCall::Kind m_kind = StoreCall::Kind::List;
     Milliseconds m_startedAt;
     Milliseconds m_due;
--- a/src/core/flow/upstreamdirectory.cpp
+++ b/src/core/flow/upstreamdirectory.cpp
@@ -32,6 +32,7 @@
     }
     const bool hasAddress = takeAddress(entry, revision, now);
     slot.last = entry.key;
+    m_presentCount += slot.isPresent ? 0 : 1;
     slot.isPresent = true;
 
     const auto [found, isNew] = m_records.try_emplace(entry.key);
@@ -50,6 +51,7 @@
     if (!hasAddress) {
         next.standing = UpstreamStanding::Replaced;
         found->second.missingSince = now;
+        m_missing.insert(entry.key);
     }
     if (isNew || next != view) {
         view = next;
@@ -77,6 +79,7 @@
     const auto found = m_records.find(key);
     if (found != m_records.end() && found->second.view.standing != UpstreamStanding::Replaced) {
         found->second.missingSince = now;
+        m_missing.insert(key);
         setStanding(found->second, UpstreamStanding::Replaced);
     }
 }
@@ -86,9 +89,14 @@
     if (!advance(id, revision)) {
         return;
     }
-    Slot &slot = m_slots[id];
+    removeEntry(m_slots[id], now);
+}
+
+void UpstreamDirectory::removeEntry(Slot &slot, Milliseconds now)
+{
     if (slot.isPresent) {
         slot.isPresent = false;
+        --m_presentCount;
         lose(*slot.last, now);
     }
 }
@@ -101,8 +109,7 @@
         const bool isListed = std::binary_search(listed.begin(), listed.end(), id);
         if (slot.isPresent && slot.revision <= revision && !isListed) {
             slot.revision = revision;
-            slot.isPresent = false;
-            lose(*slot.last, now);
+            removeEntry(slot, now);
         }
     }
     m_revision = std::max(m_revision, revision);
@@ -119,6 +126,7 @@
         return;
     }
     record.missingSince = now;
+    m_missing.insert(key);
     const bool isLapse = record.view.standing == UpstreamStanding::Ready;
     setStanding(record, isLapse && isStoreDoubtful(now) ? UpstreamStanding::Unconfirmed
                                                         : UpstreamStanding::Gone);
@@ -153,19 +161,23 @@
 void UpstreamDirectory::tick(Milliseconds now)
 {
     const bool isDoubtful = isStoreDoubtful(now);
-    for (auto it = m_records.begin(); it != m_records.end();) {
-        Record &record = it->second;
+    for (auto it = m_missing.begin(); it != m_missing.end();) {
+        Record &record = m_records.at(*it);
         if (record.view.standing == UpstreamStanding::Unconfirmed && !isDoubtful) {
             setStanding(record, UpstreamStanding::Gone);
         }
-        const bool isOver = record.view.standing == UpstreamStanding::Gone ||
-                            record.view.standing == UpstreamStanding::Replaced;
-        if (isOver && now - record.missingSince >= m_times.flowLifetime) {
-            ++m_version;
-            forget(it->first);
-            it = m_records.erase(it);
-        } else {
+        const UpstreamStanding standing = record.view.standing;
+        if (standing == UpstreamStanding::Ready || standing == UpstreamStanding::Leaving) {
+            // Its entry is back.
+            it = m_missing.erase(it);
+        } else if (standing == UpstreamStanding::Unconfirmed ||
+                   now - record.missingSince < m_times.flowLifetime) {
             ++it;
+        } else {
+            ++m_version;
+            forget(*it);
+            m_records.erase(*it);
+            it = m_missing.erase(it);
         }
     }
 }
@@ -188,6 +200,21 @@
     return found != m_slots.end() && found->second.isPresent ? found->second.last : std::nullopt;
 }
 
+std::vector<StoreChange> UpstreamDirectory::entries(Milliseconds now) const
+{
+    std::vector<StoreChange> entries;
+    entries.reserve(m_presentCount);
+    for (const auto &[id, slot] : m_slots) {
+        if (slot.isPresent) {
+            const UpstreamRecord &record = m_records.at(*slot.last).view;
+            UpstreamEntry entry = record.entry;
+            entry.warmupLeft = std::max(record.warmUntil - now, 0_ms);
+            entries.push_back({slot.revision, entry});
+        }
+    }
+    return entries;
+}
+
 std::vector<UpstreamRecord> UpstreamDirectory::records() const
 {
     std::vector<UpstreamRecord> records;
--- a/src/core/flow/upstreamdirectory.h
+++ b/src/core/flow/upstreamdirectory.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "core/flow/storechange.h"
 #include "core/flow/upstreamentry.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -45,6 +47,10 @@
 
     /// Returns all records, sorted by key.
     std::vector<UpstreamRecord> records() const;
+    /// Returns every entry that the store has, as far as known, with its remaining warm-up.
+    std::vector<StoreChange> entries(Milliseconds now) const;
+    /// Number of entries().
+    std::size_t presentCount() const { return m_presentCount; }
     /// Returns the record of a start. Precondition: it is in the directory.
     const UpstreamRecord &record(UpstreamKey key) const { return m_records.at(key).view; }
     /// Returns the start that the present entry of an id names, if there is one.
@@ -83,15 +89,19 @@
     bool advance(UpstreamId id, Revision revision);
     void replace(UpstreamKey key, Milliseconds now);
     void forget(UpstreamKey key);
+    void removeEntry(Slot &slot, Milliseconds now);
     void lose(UpstreamKey key, Milliseconds now);
     void setStanding(Record &record, UpstreamStanding standing);
     bool isStoreDoubtful(Milliseconds now) const;
 
     DirectoryTimes m_times;
     std::map<UpstreamKey, Record> m_records;
+    /// Records that are or were neither ready nor leaving: the only ones that time changes.
+    std::set<UpstreamKey> m_missing;
     std::map<UpstreamId, Slot> m_slots;
     /// Last start at each address.
     std::unordered_map<Endpoint, Holder> m_holders;
+    std::size_t m_presentCount = 0;
     std::uint64_t m_version = 1;
     Revision m_revision;
     bool m_isComplete = false;
--- a/src/wire/newscodec.cpp
+++ b/src/wire/newscodec.cpp
@@ -116,9 +116,9 @@
     return {buffer.data(), buffer.size()};
 }
 
-Result<DirectoryNews> decodeNews(std::string_view bytes)
+Result<DirectoryNews> decodeNews(std::string_view bytes, std::size_t most)
 {
-    if (bytes.size() > MaxNewsBytes) {
+    if (bytes.size() > most) {
         return failure(ErrorCode::Oversized, std::to_string(bytes.size()));
     }
     if (!isNewsDatagram(bytes)) {
--- a/tests/core/flow/flowcontroller_test.cpp
+++ b/tests/core/flow/flowcontroller_test.cpp
@@ -13,6 +13,9 @@
 class FlowControllerTest : public ::testing::Test
 {
 protected:
+    /// A small fleet has no snapshot.
+    void findNoSnapshot() { reply(done(0)); }
+
     FlowControlHooks makeHooks()
     {
         FlowControlHooks hooks;
@@ -55,6 +58,7 @@
 // Guards against a balancer that serves with half of what it must know.
 TEST_F(FlowControllerTest, IsUsableWithDeclarationAndACompleteList)
 {
+    findNoSnapshot();
     StoreReply page = done(10, {{{5}, makeEntry(1)}, declared(7, 3)});
     page.nextPage = "servers/i-1";
     reply(page);
@@ -72,6 +76,7 @@
 // Guards against a declaration that returns to an older one.
 TEST_F(FlowControllerTest, AppliesDeclarationsForwardOnly)
 {
+    findNoSnapshot();
     reply(done(10, {declared(7, 3)}));
     reply(done(12, {declared(12, 9)}));
     EXPECT_EQ(controller.revision(), Revision{9});
@@ -82,6 +87,7 @@
 // Guards against a foreign or broken item that stops the reading of the others.
 TEST_F(FlowControllerTest, CountsMistakesAndGoesOn)
 {
+    findNoSnapshot();
     reply(done(10, {{{5}, UpstreamRemoval{{4}, "servers/i-4: no field born"}},
                     {{6}, DeclaredRoutes{nullptr, "op/config: not a JSON object"}},
                     {{7}, makeEntry(1)},
@@ -94,6 +100,7 @@
 // Guards against resets by a balancer that the store has left behind.
 TEST_F(FlowControllerTest, DoubtsItsDeclarationWhenTheStoreStaysAway)
 {
+    findNoSnapshot();
     reply(done(10, {declared(7, 3)}));
     controller.takeView(now);
     const Milliseconds confirmed = now;
@@ -112,6 +119,7 @@
 // store came back.
 TEST_F(FlowControllerTest, BelievesThatTheStoreIsBackWhenPeersReadIt)
 {
+    findNoSnapshot();
     reply(done(10, {{{5}, makeEntry(1)}, {{6}, makeEntry(2)}, declared(7, 3)}));
     controller.setReader(false);
     StoreReply refused;
@@ -137,6 +145,7 @@
 // heard of the former holder in a peer's news and took it for the newer one.
 TEST_F(FlowControllerTest, IgnoresNewsFromBeforeItsList)
 {
+    findNoSnapshot();
     const UpstreamEntry former = makeEntry(1, 1000);
     UpstreamEntry holder = makeEntry(2, 2000);
     holder.endpoint = former.endpoint;
@@ -151,5 +160,92 @@
     EXPECT_EQ(controller.directory().records().size(), 1U);
 }
 
+// Guards against new flows to an upstream that has begun to leave since the snapshot.
+TEST_F(FlowControllerTest, IsUsableAfterTheChangesSinceTheSnapshot)
+{
+    StoreReply snapshot = done(0);
+    snapshot.snapshot = DirectoryNews();
+    snapshot.snapshot->to = {50};
+    snapshot.snapshot->declaration = {3};
+    snapshot.snapshot->changes = {{{20}, makeEntry(1)}, {{30}, makeEntry(2)}};
+    reply(snapshot);
+    EXPECT_FALSE(controller.isUsable());
+    UpstreamEntry leaving = makeEntry(2);
+    leaving.isLeaving = true;
+    reply(done(60, {{{55}, leaving}}));
+    EXPECT_FALSE(controller.isUsable()) << "no declaration yet";
+    reply(done(60, {declared(7, 3)}));
+    ASSERT_TRUE(controller.isUsable());
+    const auto view = controller.takeView(now);
+    ASSERT_NE(view, nullptr);
+    EXPECT_EQ(view->candidates(test::Board).size(), 1U);
+    EXPECT_NE(view->find(leaving.key), nullptr) << "it keeps its flows";
+}
+
+// Guards against upstreams of an old snapshot that live on in a directory that was listed.
+TEST_F(FlowControllerTest, TrustsTheListMoreThanAnOldSnapshot)
+{
+    StoreReply snapshot = done(0);
+    snapshot.snapshot = DirectoryNews();
+    snapshot.snapshot->to = {50};
+    snapshot.snapshot->changes = {{{20}, makeEntry(1)}, {{30}, makeEntry(2)}};
+    reply(snapshot);
+    StoreReply lost;
+    lost.outcome = StoreOutcome::HistoryLost;
+    reply(lost);
+    EXPECT_FALSE(controller.isUsable());
+    reply(done(90, {{{30}, makeEntry(2)}, declared(7, 3)}));
+    ASSERT_TRUE(controller.isUsable());
+    EXPECT_EQ(controller.takeView(now)->candidates(test::Board).size(), 1U);
+}
+
+// Guards against a snapshot that lacks what an instance needs to start with.
+TEST_F(FlowControllerTest, SavesASnapshotThatAnotherInstanceStartsWith)
+{
+    constexpr std::uint64_t Upstreams = 600;
+    findNoSnapshot();
+    std::vector<StoreChange> items = {declared(7, 3)};
+    for (std::uint64_t id = 1; id <= Upstreams; ++id) {
+        items.push_back({{100 + id}, makeEntry(id)});
+    }
+    reply(done(1000, items));
+    reply(done(1001, {{{1001}, UpstreamRemoval{makeEntry(5).key.id, {}}}}));
+    std::optional<StoreCall> call;
+    while (!call || call->kind != StoreCall::Kind::SaveSnapshot) {
+        if (call) {
+            controller.handleReply(done(1001), now);
+        }
+        now += 10_ms;
+        call = controller.nextCall(now);
+        ASSERT_LT(now, 60_s);
+    }
+    ASSERT_NE(call->snapshot, nullptr);
+    EXPECT_EQ(call->snapshot->changes.size(), Upstreams - 1);
+    EXPECT_EQ(call->snapshot->to, Revision{1001});
+
+    FlowController other{{}, makeHooks()};
+    other.nextCall(now);
+    StoreReply snapshot = done(0);
+    snapshot.snapshot = *call->snapshot;
+    other.handleReply(snapshot, now);
+    other.nextCall(now);
+    other.handleReply(done(1001), now);
+    other.nextCall(now);
+    other.handleReply(done(1001, {declared(7, 3)}), now);
+    ASSERT_TRUE(other.isUsable());
+    EXPECT_EQ(other.takeView(now)->candidates(test::Board).size(), Upstreams - 1);
+}
+
+// Guards against a broken snapshot that keeps instances from starting.
+TEST_F(FlowControllerTest, ListsIfTheSnapshotCannotBeRead)
+{
+    StoreReply broken = done(0);
+    broken.detail = "not base64";
+    reply(broken);
+    EXPECT_EQ(mistakes, 1);
+    reply(done(10, {{{5}, makeEntry(1)}, declared(7, 3)}));
+    EXPECT_TRUE(controller.isUsable());
+}
+
 } // namespace
 } // namespace damaskhall
--- a/tests/core/flow/flowrouter_test.cpp
+++ b/tests/core/flow/flowrouter_test.cpp
@@ -355,6 +355,30 @@
     EXPECT_GE(got[UpstreamId{2}], 3);
 }
 
+// Guards against a new flow that costs more processor time the larger the fleet is, and against
+// a sample that misses idle upstreams while others queue.
+TEST_F(FlowPlacement, WeighsABoundedNumberOfUpstreamsInALargeFleet)
+{
+    constexpr std::uint64_t Upstreams = 3000;
+    constexpr int MostWeighed = 64;
+    std::vector<UpstreamEntry> entries;
+    for (std::uint64_t id = 1; id <= Upstreams; ++id) {
+        entries.push_back(makeEntry(id));
+        if (id % 3 != 0) {
+            entries.back().dataCentre = test::OtherDataCentre;
+        }
+    }
+    bench.publish(entries);
+    bench.randomDraws = 0;
+    int highest = 0;
+    for (const auto &[id, count] : openBusy(500)) {
+        EXPECT_EQ(id.value % 3, 0U) << "the own data centre has room";
+        highest = std::max(highest, count);
+    }
+    EXPECT_LE(highest, 2);
+    EXPECT_LE(bench.randomDraws, 500 * MostWeighed);
+}
+
 // Guards against clients that are sent to a dead upstream one after the other.
 TEST_F(FlowPlacement, AvoidsASilentUpstreamAndTriesItAgainRarely)
 {
--- a/tests/core/flow/storereader_test.cpp
+++ b/tests/core/flow/storereader_test.cpp
@@ -8,6 +8,22 @@
 class StoreReaderTest : public ::testing::Test
 {
 protected:
+    /// A small fleet has no snapshot.
+    void findNoSnapshot()
+    {
+        EXPECT_EQ(await().kind, StoreCall::Kind::Snapshot);
+        end(StoreOutcome::Done);
+    }
+
+    /// Lists a large directory.
+    void listManyUpstreams()
+    {
+        findNoSnapshot();
+        await();
+        end(StoreOutcome::Done, 100);
+        reader.setDirectorySize(3000);
+    }
+
     /// Returns the call that is due within the next two seconds.
     StoreCall await()
     {
@@ -33,6 +49,7 @@
 // Guards against changes that are missed between the pages of a list and the first watch.
 TEST_F(StoreReaderTest, WatchesFromTheFirstPage)
 {
+    findNoSnapshot();
     EXPECT_EQ(await().kind, StoreCall::Kind::List);
     end(StoreOutcome::Done, 100, "servers/i-5");
     const StoreCall second = await();
@@ -47,6 +64,7 @@
 // Guards against a call for each heartbeat of each upstream.
 TEST_F(StoreReaderTest, KeepsItsPace)
 {
+    findNoSnapshot();
     await();
     end(StoreOutcome::Done, 100);
     await();
@@ -60,11 +78,13 @@
 // Guards against a directory that stays old after the store forgot its history.
 TEST_F(StoreReaderTest, ListsAgainWhenTheHistoryIsLost)
 {
+    findNoSnapshot();
     await();
     end(StoreOutcome::Done, 100);
     await();
     end(StoreOutcome::HistoryLost);
     EXPECT_FALSE(reader.isFollowing());
+    findNoSnapshot();
     EXPECT_EQ(await().kind, StoreCall::Kind::List);
 }
 
@@ -90,6 +110,7 @@
 // Guards against a follower that asks for a declaration without end, as fast as the store answers.
 TEST_F(StoreReaderTest, AsksForADeclarationCheaplyFirstAndNotWithoutPause)
 {
+    findNoSnapshot();
     await();
     end(StoreOutcome::Done, 100);
     reader.setFollower(true);
@@ -111,6 +132,81 @@
     EXPECT_FALSE(reader.next(now + 1_s)) << "peers read";
 }
 
+// Guards against a store whose link is full of lists when many instances start at once.
+TEST_F(StoreReaderTest, TakesASnapshotAndTheChangesSince)
+{
+    EXPECT_EQ(await().kind, StoreCall::Kind::Snapshot);
+    end(StoreOutcome::Done, 100);
+    EXPECT_FALSE(reader.isFollowing());
+    const StoreCall changes = await();
+    EXPECT_EQ(changes.kind, StoreCall::Kind::Watch);
+    EXPECT_EQ(changes.after, Revision{100});
+    EXPECT_EQ(changes.wait, 0_ms) << "there may be none";
+    end(StoreOutcome::Done, 105);
+    EXPECT_TRUE(reader.isFollowing());
+    EXPECT_EQ(reader.revision(), Revision{105});
+}
+
+// Guards against an instance that asks for a snapshot again and again that is too old.
+TEST_F(StoreReaderTest, ListsWhenTheSnapshotIsTooOld)
+{
+    await();
+    end(StoreOutcome::Done, 100);
+    await();
+    end(StoreOutcome::HistoryLost);
+    EXPECT_EQ(await().kind, StoreCall::Kind::List);
+}
+
+// Guards against a snapshot that is too old when it is needed, and against one by each reader.
+TEST_F(StoreReaderTest, SavesSnapshotsOfALargeDirectory)
+{
+    listManyUpstreams();
+    const Milliseconds begin = now;
+    Milliseconds saved;
+    while (now - begin < 9_s) {
+        if (await().kind == StoreCall::Kind::SaveSnapshot) {
+            saved = now;
+        }
+        end(StoreOutcome::Done, 101);
+    }
+    EXPECT_GE(saved - begin, 5_s);
+    EXPECT_LE(saved - begin, 8_s);
+    reader.handleSnapshotSaved(now);
+    const Milliseconds other = now;
+    while (now - other < 4_s) {
+        EXPECT_NE(await().kind, StoreCall::Kind::SaveSnapshot) << "another one has saved it";
+        end(StoreOutcome::Done, 101);
+    }
+}
+
+// Guards against store calls for snapshots that nobody needs.
+TEST_F(StoreReaderTest, SavesNoSnapshotOfASmallDirectoryOrAsAFollower)
+{
+    listManyUpstreams();
+    reader.setFollower(true);
+    for (const std::size_t size : {3000, 100}) {
+        reader.setDirectorySize(size);
+        const Milliseconds begin = now;
+        while (now - begin < 9_s) {
+            EXPECT_EQ(await().kind, StoreCall::Kind::Watch);
+            end(StoreOutcome::Done, 101);
+        }
+        reader.setFollower(false);
+    }
+}
+
+// Guards against a directory that grows old because the store takes no snapshot.
+TEST_F(StoreReaderTest, KeepsFollowingWhenASnapshotIsRefused)
+{
+    listManyUpstreams();
+    while (await().kind != StoreCall::Kind::SaveSnapshot) {
+        end(StoreOutcome::Done, 101);
+    }
+    end(StoreOutcome::Refused);
+    EXPECT_FALSE(reader.isAway());
+    EXPECT_EQ(await().kind, StoreCall::Kind::Watch);
+}
+
 // Guards against a second call while one is under way.
 TEST_F(StoreReaderTest, MakesOneCallAtATime)
 {
--- a/tests/support/flowfixture.h
+++ b/tests/support/flowfixture.h
@@ -68,7 +68,10 @@
 {
 public:
     explicit FlowBench(std::uint64_t seed = 1)
-        : router(OwnDataCentre, {seededRandom(seed),
+        : router(OwnDataCentre, {[this, random = seededRandom(seed)] {
+                                     ++randomDraws;
+                                     return random();
+                                 },
                                  [this](const FlowPacket &, const FlowDecision &decision,
                                         Milliseconds) { reasons.push_back(decision.reason); },
                                  [this](const FlowPacket &, UpstreamKey, Milliseconds duration,
@@ -111,6 +114,8 @@
     std::vector<FlowReason> reasons;
     std::vector<UpstreamKey> probed;
     std::vector<Milliseconds> answers;
+    /// Random numbers that the router has drawn.
+    int randomDraws = 0;
     FlowRouter router;
 };
 
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -2,8 +2,10 @@
 
 #include "base/endpoint.h"
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/streambuf.hpp>
@@ -13,6 +15,7 @@
 #include <limits>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -40,6 +43,9 @@
 
     int connections() const { return m_connections; }
 
+    /// Body of the request that is answered.
+    const std::string &body() const { return m_body; }
+
     /// Sends answers in parts of @p bytes with a pause before each part.
     void sendSlowly(std::size_t bytes, std::chrono::milliseconds pause)
     {
@@ -93,16 +99,40 @@
                                            asio::buffers_begin(connection->input.data()) +
                                                    static_cast<std::ptrdiff_t>(length));
                     connection->input.consume(length);
-                    connection->output = m_answer(head);
-                    if (connection->output == "close") {
-                        connection->socket.close();
-                        return;
-                    }
-                    connection->sent = 0;
-                    write(connection);
+                    readBody(connection, head);
                 });
     }
 
+    void readBody(const std::shared_ptr<Connection> &connection, const std::string &head)
+    {
+        static constexpr std::string_view Field = "Content-Length: ";
+        const std::size_t at = head.find(Field);
+        const std::size_t size =
+                at == std::string::npos ? 0 : std::stoul(head.substr(at + Field.size()));
+        const std::size_t missing = size - std::min(size, connection->input.size());
+        asio::async_read(connection->socket, connection->input, asio::transfer_exactly(missing),
+                         [this, connection, head, size](const std::error_code &error, std::size_t) {
+                             if (error) {
+                                 return;
+                             }
+                             const auto begin = asio::buffers_begin(connection->input.data());
+                             m_body.assign(begin, begin + static_cast<std::ptrdiff_t>(size));
+                             connection->input.consume(size);
+                             answer(connection, head);
+                         });
+    }
+
+    void answer(const std::shared_ptr<Connection> &connection, const std::string &head)
+    {
+        connection->output = m_answer(head);
+        if (connection->output == "close") {
+            connection->socket.close();
+            return;
+        }
+        connection->sent = 0;
+        write(connection);
+    }
+
     void write(const std::shared_ptr<Connection> &connection)
     {
         connection->timer.expires_after(m_pause);
@@ -127,6 +157,7 @@
 
     asio::ip::tcp::acceptor m_acceptor;
     Answer m_answer;
+    std::string m_body;
     int m_connections = 0;
     std::size_t m_partBytes = std::numeric_limits<std::size_t>::max();
     std::chrono::milliseconds m_pause{0};
--- a/tests/usersplatform/storeclient_test.cpp
+++ b/tests/usersplatform/storeclient_test.cpp
@@ -4,6 +4,7 @@
 #include "support/rawserver.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <optional>
 
 namespace damaskhall::platform {
@@ -35,9 +36,11 @@
 
     std::string answer;
     std::string lastHead;
+    std::string lastBody;
     asio::io_context context{1};
     RawServer server{context, [this](const std::string &head) {
                          lastHead = head;
+                         lastBody = server.body();
                          return answer;
                      }};
     StoreClient client{context, server.endpoint()};
@@ -103,5 +106,70 @@
     }
 }
 
+// Guards against a snapshot that its reader does not understand as its writer meant it.
+TEST_F(StoreClientTest, SavesAndReadsASnapshot)
+{
+    auto snapshot = std::make_shared<DirectoryNews>();
+    snapshot->to = {77};
+    snapshot->declaration = {5};
+    for (std::uint64_t id = 1; id <= 3000; ++id) {
+        UpstreamEntry entry;
+        entry.key = {UpstreamId{id}, Incarnation{1760000000000 + id}};
+        snapshot->changes.push_back({{id}, entry});
+    }
+    StoreCall save;
+    save.kind = StoreCall::Kind::SaveSnapshot;
+    save.snapshot = snapshot;
+    answer = RawServer::ok(R"({"revision":78})");
+    EXPECT_EQ(call(save).outcome, StoreOutcome::Done);
+    EXPECT_TRUE(lastHead.starts_with("POST /v1/kv-txn ")) << lastHead;
+    const auto body = nlohmann::json::parse(lastBody);
+    EXPECT_EQ(body["puts"][0]["key"], "damaskhall/directory");
+    EXPECT_LT(lastBody.size(), 3000U * 80) << "a list has several hundred bytes an upstream";
+
+    StoreCall read;
+    read.kind = StoreCall::Kind::Snapshot;
+    answer = RawServer::ok(nlohmann::json{
+            {"key", "damaskhall/directory"},
+            {"value", body["puts"][0]["value"]},
+            {"revision", 78}}.dump());
+    const StoreReply reply = call(read);
+    EXPECT_TRUE(lastHead.starts_with("GET /v1/kv-key?serializable=1&key=damaskhall/directory "))
+            << lastHead;
+    ASSERT_TRUE(reply.snapshot) << reply.detail;
+    EXPECT_EQ(reply.snapshot->to, Revision{77});
+    EXPECT_EQ(reply.snapshot->changes.size(), 3000U);
+}
+
+// Guards against an instance that never starts because its snapshot is missing or broken.
+TEST_F(StoreClientTest, TreatsAMissingOrBrokenSnapshotAsNone)
+{
+    StoreCall read;
+    read.kind = StoreCall::Kind::Snapshot;
+    answer = RawServer::ok("{}", "404 Not Found");
+    StoreReply reply = call(read);
+    EXPECT_EQ(reply.outcome, StoreOutcome::Done);
+    EXPECT_FALSE(reply.snapshot);
+    EXPECT_TRUE(reply.detail.empty()) << reply.detail;
+    for (const char *body :
+         {"[]", "{", R"({"value":7})", R"({"value":"!!"})", R"({"value":"AAAA"})"}) {
+        answer = RawServer::ok(body);
+        reply = call(read);
+        EXPECT_EQ(reply.outcome, StoreOutcome::Done) << body;
+        EXPECT_FALSE(reply.snapshot) << body;
+        EXPECT_FALSE(reply.detail.empty()) << body;
+    }
+}
+
+// Guards against a directory that treats the system's own key as an upstream.
+TEST_F(StoreClientTest, NoticesThatASnapshotWasSaved)
+{
+    answer = RawServer::ok(
+            R"({"events":[{"key":"damaskhall/directory","value":"AAAA","revision":9}],"as_of":9})");
+    const StoreReply reply = call(watch(1));
+    ASSERT_EQ(reply.changes.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<SnapshotSaved>(reply.changes[0].content));
+}
+
 } // namespace
 } // namespace damaskhall::platform
