Replay the three complaints of the operations page on the real program

Each test makes the failure (a late answer, a reset, an opening that moved), and asserts the lines that damaskhall-explain prints for the client and the counter that the page names. Found: on loopback the forwarder's reset comes back to itself and counts as a second packet without route; the test says so.

--- a/tests/processes/forwarder_test.cpp
+++ b/tests/processes/forwarder_test.cpp
@@ -4,6 +4,7 @@
 #include "support/rawserver.h"
 
 #include <array>
+#include <asio/read.hpp>
 #include <chrono>
 #include <csignal>
 #include <filesystem>
@@ -21,6 +22,7 @@
 
 constexpr int StartLimitMs = 5000;
 constexpr int PacketLimitMs = 2000;
+constexpr int PollMs = 50;
 
 /// UDP socket on loopback.
 class LoopbackSocket
@@ -80,13 +82,24 @@
 constexpr char FlagOpening = 64;
 constexpr char FlagAcknowledgment = 1;
 
+/// Fields of a packet that most packets do not use.
+struct PacketFields
+{
+    std::uint32_t sequence = 1000;
+    /// Of an opening packet: the number of the copy.
+    std::uint32_t acknowledgment = 0;
+    std::string data;
+};
+
 /// Returns a packet of a client at 127.0.0.1:@p port for the route 198.18.0.1:@p routePort.
-std::string packet(char flags, std::uint16_t port, std::uint16_t routePort, std::uint32_t cookie)
+std::string packet(char flags, std::uint16_t port, std::uint16_t routePort, std::uint32_t cookie,
+                   const PacketFields &fields = {})
 {
     return littleEndian(0, 4) + std::string(1, flags) + std::string(1, '\0') +
            littleEndian(routePort, 2) + littleEndian(port, 2) + littleEndian(0x7f000001, 4) +
-           littleEndian(0xc6120001, 4) + littleEndian(1000, 4) + littleEndian(0, 4) +
-           littleEndian(0, 2) + littleEndian(cookie, 4);
+           littleEndian(0xc6120001, 4) + littleEndian(fields.sequence, 4) +
+           littleEndian(fields.acknowledgment, 4) + littleEndian(fields.data.size(), 2) +
+           littleEndian(cookie, 4) + fields.data;
 }
 
 // The real program between a client, an upstream and a store, all on loopback.
@@ -146,6 +159,58 @@
         return {std::istreambuf_iterator<char>(stream), {}};
     }
 
+    /// Waits until the log holds @p text; returns false if it does not.
+    bool awaitOutput(const std::string &text) const
+    {
+        for (int waited = 0; waited < PacketLimitMs; waited += PollMs) {
+            if (output().find(text) != std::string::npos) {
+                return true;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(PollMs));
+        }
+        return false;
+    }
+
+    /// Returns the metrics as an engineer reads them.
+    std::string metrics() const
+    {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::address_v4(m_status.address), m_status.port});
+        asio::write(socket,
+                    asio::buffer(std::string(
+                            "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")));
+        std::string text;
+        std::error_code end;
+        asio::read(socket, asio::dynamic_buffer(text), end);
+        return text;
+    }
+
+    /// Waits until a counter has a value; returns the metrics if it does not.
+    std::string awaitMetric(const std::string &line) const
+    {
+        std::string text;
+        for (int waited = 0; waited < PacketLimitMs; waited += PollMs) {
+            text = metrics();
+            if (text.find("\n" + line + "\n") != std::string::npos) {
+                return {};
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(PollMs));
+        }
+        return text;
+    }
+
+    /// Returns what damaskhall-explain prints for a client's port.
+    std::string explain(std::uint16_t port) const
+    {
+        Process program("damaskhall-explain",
+                        {"--client", "127.0.0.1:" + std::to_string(port), m_folder + "/output.log"},
+                        m_folder + "/explained.txt");
+        EXPECT_EQ(program.wait(5), 0);
+        std::ifstream stream(m_folder + "/explained.txt");
+        return {std::istreambuf_iterator<char>(stream), {}};
+    }
+
     static std::uint32_t cookieOf(const std::string &forwarded)
     {
         std::uint32_t cookie = 0;
@@ -158,6 +223,9 @@
     std::string m_folder = testing::TempDir() + "forwarder-" + std::to_string(getpid());
     LoopbackSocket m_client;
     LoopbackSocket m_upstream;
+    LoopbackSocket m_second;
+    /// The store has an entry of the second upstream too; set before the program starts.
+    bool m_hasSecond = false;
     Endpoint m_listen;
     Endpoint m_status;
     std::unique_ptr<Process> m_forwarder;
@@ -178,13 +246,25 @@
             std::this_thread::sleep_for(std::chrono::milliseconds(300));
             return RawServer::ok(R"({"events":[],"as_of":10})");
         }
-        const std::string entry =
-                R"({"service":"a","addr":")" + toString(m_upstream.local()) +
-                R"(","zone":"east","version":"1","concurrency":2,"state":"ready",)"
-                R"("warmup_left_ms":0,"seq":1,"born":1700000000000})";
-        return RawServer::ok(std::string(R"({"items":[{"key":"op/config","value":")") +
-                             Declaration + R"(","revision":4},{"key":"servers/i-0a0b","value":")" +
-                             base64(entry) + R"(","revision":5}],"truncated":false,"as_of":10})");
+        if (head.find("kv-key") != std::string::npos) {
+            return RawServer::ok("{}", "404 Not Found");
+        }
+        std::string items = std::string(R"({"key":"op/config","value":")") + Declaration +
+                            R"(","revision":4},)" + item("0a0b", m_upstream, 5);
+        if (m_hasSecond) {
+            items += "," + item("0a0c", m_second, 6);
+        }
+        return RawServer::ok(R"({"items":[)" + items + R"(],"truncated":false,"as_of":10})");
+    }
+
+    static std::string item(const std::string &id, const LoopbackSocket &upstream, int revision)
+    {
+        const std::string entry = R"({"service":"a","addr":")" + toString(upstream.local()) +
+                                  R"(","zone":"east","version":"1","concurrency":2,)"
+                                  R"("state":"ready","warmup_left_ms":0,"seq":1,)"
+                                  R"("born":1700000000000})";
+        return R"({"key":"servers/i-)" + id + R"(","value":")" + base64(entry) +
+               R"(","revision":)" + std::to_string(revision) + "}";
     }
 
     static std::string base64(const std::string &bytes)
@@ -228,10 +308,7 @@
     // Resets go to the client's address at the forwarder's own port, which is taken on loopback
     // by the forwarder itself; the log shows the decision.
     m_client.send(packet(FlagOpening, 4002, 99, 0), m_listen);
-    for (int i = 0; i < 50 && output().find("reason=no_route ") == std::string::npos; ++i) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(50));
-    }
-    EXPECT_NE(output().find("flow: reset reason=no_route"), std::string::npos) << output();
+    EXPECT_TRUE(awaitOutput("flow: reset reason=no_route ")) << output();
 }
 
 // Guards against flows that break when a forwarder is killed.
@@ -269,12 +346,109 @@
     ASSERT_FALSE(open(4001).empty()) << output();
     std::ofstream(m_folder + "/forwarder.ini") << "[forwarder]\nname =\n";
     m_forwarder->signal(SIGHUP);
-    for (int i = 0; i < 50 && output().find("the old ones stay") == std::string::npos; ++i) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(50));
-    }
+    EXPECT_TRUE(awaitOutput("the old ones stay")) << output();
     EXPECT_NE(output().find("forwarder.ini:2"), std::string::npos) << output();
     EXPECT_FALSE(open(4003).empty()) << output();
 }
 
+// The three ways of docs/OPERATIONS.md from a complaint to its cause, on the real program: what the
+// engineer has is the client's address and port, the log and the metrics.
+class ComplaintStory : public ForwarderStory
+{
+protected:
+    ComplaintStory() { m_hasSecond = true; }
+
+    /// Returns the next datagram at either upstream, or an empty string if none comes.
+    std::string receiveAnywhere() const
+    {
+        for (int waited = 0; waited < PacketLimitMs; waited += 2 * PollMs) {
+            for (const LoopbackSocket *upstream : {&m_upstream, &m_second}) {
+                const std::string datagram = upstream->receive(PollMs);
+                if (!datagram.empty()) {
+                    return datagram;
+                }
+            }
+        }
+        return {};
+    }
+
+    /// Sends an opening packet until an upstream gets one, and reads all others.
+    std::string openAnywhere(std::uint16_t port) const
+    {
+        std::string forwarded;
+        for (int waited = 0; waited < StartLimitMs && forwarded.empty(); waited += 2 * PollMs) {
+            m_client.send(packet(FlagOpening, port, 443, 0), m_listen);
+            forwarded = m_upstream.receive(PollMs);
+            forwarded = forwarded.empty() ? m_second.receive(PollMs) : forwarded;
+        }
+        while (!m_upstream.receive(PollMs).empty() || !m_second.receive(PollMs).empty()) {
+        }
+        return forwarded;
+    }
+};
+
+// Guards against a late answer that the log does not explain.
+TEST_F(ComplaintStory, AnAnswerWasLate)
+{
+    const std::string placed = openAnywhere(4001);
+    ASSERT_FALSE(placed.empty()) << output();
+    const std::uint32_t cookie = cookieOf(placed);
+    m_client.send(packet(FlagAcknowledgment, 4001, 443, cookie, {1001, 5000, {}}), m_listen);
+    m_client.send(packet(FlagAcknowledgment, 4001, 443, cookie, {1001, 5000, "request"}), m_listen);
+    // Twice the target latency of the route.
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    m_client.send(packet(FlagAcknowledgment, 4001, 443, cookie, {1008, 5100, {}}), m_listen);
+    ASSERT_TRUE(awaitOutput("late answer")) << output();
+    EXPECT_EQ(awaitMetric("damaskhall_late_answers_total 1"), "");
+
+    const std::string story = explain(4001);
+    const std::size_t decision = story.find("flow: forward reason=placed client=127.0.0.1:4001");
+    const std::size_t cause = story.find("flow: late answer client=127.0.0.1:4001");
+    ASSERT_NE(decision, std::string::npos) << story;
+    ASSERT_NE(cause, std::string::npos) << story;
+    EXPECT_LT(decision, cause);
+    EXPECT_NE(story.find("target_ms=150"), std::string::npos) << story;
+}
+
+// Guards against a reset that the log does not explain.
+TEST_F(ComplaintStory, AConnectionWasReset)
+{
+    ASSERT_FALSE(openAnywhere(4001).empty()) << output();
+    m_client.send(packet(FlagOpening, 4002, 99, 0), m_listen);
+    ASSERT_TRUE(awaitOutput("reason=no_route ")) << output();
+    // The second packet is the reset: on loopback it comes back to the forwarder, which has the
+    // client's address.
+    EXPECT_EQ(awaitMetric(R"(damaskhall_flow_packets_total{reason="no_route"} 2)"), "");
+
+    const std::string story = explain(4002);
+    EXPECT_NE(story.find("config: A declaration is in force. version=3"), std::string::npos)
+            << story;
+    EXPECT_NE(story.find("flow: reset reason=no_route client=127.0.0.1:4002 route=198.18.0.1:99"),
+              std::string::npos)
+            << story;
+}
+
+// Guards against an opening that took a second try without a trace of the first.
+TEST_F(ComplaintStory, AnOpeningTookLonger)
+{
+    ASSERT_FALSE(openAnywhere(4001).empty()) << output();
+    m_client.send(packet(FlagOpening, 4002, 443, 0), m_listen);
+    const std::string first = receiveAnywhere();
+    ASSERT_FALSE(first.empty()) << output();
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    m_client.send(packet(FlagOpening, 4002, 443, 0, {1000, 1, {}}), m_listen);
+    const std::string copy = receiveAnywhere();
+    ASSERT_FALSE(copy.empty()) << output();
+    EXPECT_NE(copy.substr(0, 8), first.substr(0, 8)) << "another upstream";
+    EXPECT_EQ(awaitMetric(R"(damaskhall_flow_packets_total{reason="opening_moved"} 1)"), "");
+
+    const std::string story = explain(4002);
+    const std::size_t placed = story.find("reason=placed client=127.0.0.1:4002");
+    const std::size_t moved = story.find("reason=opening_moved client=127.0.0.1:4002");
+    ASSERT_NE(placed, std::string::npos) << story;
+    ASSERT_NE(moved, std::string::npos) << story;
+    EXPECT_LT(placed, moved);
+}
+
 } // namespace
 } // namespace damaskhall::processes
