Measure each load pattern against random placement

Cause: the replays had no baseline, so nobody could tell what the placement is worth. Change: the patterns are data (fakes/loadpatterns) that the tests and `make measure` share; the emulator can place at random instead; upstreams that go down and up by turns are a new pattern.

--- a/fakes/flowfleet.cpp
+++ b/fakes/flowfleet.cpp
@@ -1,5 +1,7 @@
 #include "fakes/flowfleet.h"
 
+#include "fakes/randomforwarder.h"
+
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -60,6 +62,8 @@
         int dataCentre = 0;
         bool isUp = true;
         std::unique_ptr<FlowRouter> router;
+        /// Takes the router's place in the baseline.
+        std::optional<RandomForwarder> random;
     };
 
     /// Client's end of a flow.
@@ -97,7 +101,7 @@
                 }
             }
             for (int i = 0; i < options.balancersPerDataCentre; ++i) {
-                balancers.push_back({dc, true, nullptr});
+                balancers.push_back({dc, true, nullptr, {}});
                 restart(balancers.back());
             }
         }
@@ -146,10 +150,27 @@
         balancer.router = std::make_unique<FlowRouter>(
                 DataCentreId{static_cast<std::uint32_t>(balancer.dataCentre + 1)},
                 std::move(hooks));
-        balancer.router->handleView(view());
+        if (options.isPlacedAtRandom) {
+            balancer.random.emplace(seededRandom(random()));
+        }
+        handleView(balancer, view());
         balancer.isUp = true;
     }
 
+    static void handleView(Balancer &balancer, const std::shared_ptr<const FlowView> &view)
+    {
+        balancer.router->handleView(view);
+        if (balancer.random) {
+            balancer.random->handleView(view);
+        }
+    }
+
+    FlowDecision decide(Balancer &balancer, const FlowPacket &packet) const
+    {
+        return balancer.random ? balancer.random->handlePacket(packet)
+                               : balancer.router->handlePacket(packet, events.now());
+    }
+
     void finishProbe(Balancer &balancer, UpstreamKey key, bool isReachable)
     {
         if (!balancer.isUp) {
@@ -176,7 +197,7 @@
     {
         for (Balancer &balancer : balancers) {
             if (balancer.isUp) {
-                balancer.router->handleView(view());
+                handleView(balancer, view());
             }
         }
     }
@@ -366,7 +387,7 @@
         Balancer *chosen = rotation[std::hash<FlowKey>()(packet.key) % rotation.size()];
         events.schedule(events.now() + options.delay, [this, chosen, packet] {
             if (chosen->isUp) {
-                carryOut(*chosen, packet, chosen->router->handlePacket(packet, events.now()));
+                carryOut(*chosen, packet, decide(*chosen, packet));
             }
         });
     }
@@ -582,6 +603,22 @@
     }
 }
 
+void FlowFleet::flapUpstreams(int perDataCentre, Milliseconds period, Milliseconds duration)
+{
+    std::map<std::pair<int, ServiceId>, int> chosen;
+    for (auto &upstream : m_d->upstreams) {
+        if (chosen[{upstream.dataCentre, upstream.record.entry.service}]++ >= perDataCentre) {
+            continue;
+        }
+        for (Milliseconds after; after < duration; after += period) {
+            const bool isSilent = after.value / period.value % 2 == 0;
+            m_d->events.schedule(now() + after,
+                                 [&upstream, isSilent] { upstream.isSilent = isSilent; });
+        }
+        m_d->events.schedule(now() + duration, [&upstream] { upstream.isSilent = false; });
+    }
+}
+
 void FlowFleet::scaleLoad(int dataCentre, double factor)
 {
     m_d->factors[static_cast<std::size_t>(dataCentre)] = factor;
--- a/fakes/flowfleet.h
+++ b/fakes/flowfleet.h
@@ -42,6 +42,8 @@
     /// Requests that an upstream queues before it sheds.
     int queue = 8;
     std::vector<FlowLoad> loads;
+    /// Baseline: the balancers place new flows at random.
+    bool isPlacedAtRandom = false;
     /// One way, between parts of one data centre, and more to another one.
     Milliseconds delay = 1_ms;
     Milliseconds crossDelay = 1_ms;
@@ -84,6 +86,9 @@
     /// The first upstreams of each data centre fall silent for good; the directory learns it after
     /// @p noticed.
     void silenceUpstreams(int perDataCentre, Milliseconds noticed);
+    /// The first upstreams of each data centre are silent and work again by turns, each for
+    /// @p period, until @p duration is over; the directory does not learn of it.
+    void flapUpstreams(int perDataCentre, Milliseconds period, Milliseconds duration);
     /// Multiplies the load of a data centre.
     void scaleLoad(int dataCentre, double factor);
     /// Replaces one upstream after the other in each data centre, with cold ones.
--- /dev/null
+++ b/fakes/loadpatterns.cpp
@@ -0,0 +1,67 @@
+#include "fakes/loadpatterns.h"
+
+namespace damaskhall::fakes {
+
+namespace {
+
+constexpr ServiceId BoardService{10};
+/// Time after the last request that counts, within which it is answered or given up.
+constexpr Milliseconds AnswerTime = 2_s;
+
+} // namespace
+
+FlowFleetOptions workshopFleet(std::uint64_t seed)
+{
+    FlowFleetOptions options;
+    options.seed = seed;
+    options.loads = {
+            {"feed", {1, 443}, BoardService, 97, true, 30_ms, 150_ms, 1500_ms, 2, true},
+            {"claim", {2, 443}, BoardService, 28, false, 39_ms, 200_ms, 2_s, 2, false},
+    };
+    return options;
+}
+
+std::vector<LoadPattern> loadPatterns()
+{
+    return {
+            {"quiet_day", [](FlowFleet &) {}, "", 2_s, 16_s, 0.99},
+            // The last balancer is back after 1.8 s; upstream queues drain within a second.
+            {"return_after_outage",
+             [](FlowFleet &fleet) { fleet.loseAllBalancers(1400_ms, 400_ms); }, "",
+             TroubleAt + 2800_ms, 16_s, 0.98},
+            {"slow_upstreams", [](FlowFleet &fleet) { fleet.slowUpstreams(1, 6); }, "claim",
+             TroubleAt + 1_s, 17_s, 0.95},
+            {"silent_upstreams", [](FlowFleet &fleet) { fleet.silenceUpstreams(1, 4_s); }, "claim",
+             TroubleAt + 1_s, 17_s, 0.95},
+            {"flapping_upstreams", [](FlowFleet &fleet) { fleet.flapUpstreams(1, 1500_ms, 6_s); },
+             "claim", TroubleAt + 1_s, 17_s, 0.95},
+            {"load_shifts",
+             [](FlowFleet &fleet) {
+                 fleet.scaleLoad(0, 2.0);
+                 fleet.scaleLoad(1, 0.5);
+                 fleet.scaleLoad(2, 0.5);
+             },
+             "", TroubleAt + 1_s, 17_s, 0.95},
+            {"upstreams_replaced",
+             [](FlowFleet &fleet) { fleet.replaceUpstreams(3, 1_s, 2_s, 1.6); }, "", TroubleAt,
+             17_s, 0.97},
+            {"burst",
+             [](FlowFleet &fleet) {
+                 for (int dataCentre = 0; dataCentre < 3; ++dataCentre) {
+                     fleet.scaleLoad(dataCentre, 2.0);
+                 }
+             },
+             "", TroubleAt, 17_s, 0.9},
+    };
+}
+
+FlowOutcome replay(const LoadPattern &pattern, const FlowFleetOptions &options)
+{
+    FlowFleet fleet(options);
+    fleet.runUntil(TroubleAt);
+    pattern.start(fleet);
+    fleet.runUntil(pattern.until + AnswerTime);
+    return fleet.outcome(pattern.load, pattern.from, pattern.until);
+}
+
+} // namespace damaskhall::fakes
--- /dev/null
+++ b/fakes/loadpatterns.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "fakes/flowfleet.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace damaskhall::fakes {
+
+/// A situation of docs/overload.md that the placement of flows answers, as a replay.
+struct LoadPattern
+{
+    std::string name;
+    /// Starts the trouble; FlowFleet::now() is TroubleAt.
+    std::function<void(FlowFleet &)> start;
+    /// Requests that count: those of this load, or of all if it is empty ...
+    std::string load;
+    /// ... that are asked in [from, until).
+    Milliseconds from;
+    Milliseconds until;
+    /// Share of them that is answered in time.
+    double target = 0;
+};
+
+/// When the trouble of each pattern starts.
+inline constexpr Milliseconds TroubleAt = 10_s;
+
+/// Three data centres of five upstreams with two slots each, at 45% load: feeds on long flows and
+/// claims on a flow each. Thread safety: reentrant.
+FlowFleetOptions workshopFleet(std::uint64_t seed);
+
+/// Returns all patterns. Thread safety: reentrant.
+std::vector<LoadPattern> loadPatterns();
+
+/// Replays @p pattern with one seed and returns what became of the requests that count.
+/// Thread safety: reentrant.
+FlowOutcome replay(const LoadPattern &pattern, const FlowFleetOptions &options);
+
+} // namespace damaskhall::fakes
--- a/measure/damaskhall-measure.cpp
+++ b/measure/damaskhall-measure.cpp
@@ -5,6 +5,7 @@
 #include "measure/loopbackrows.h"
 #include "measure/measurement.h"
 #include "measure/overloadrows.h"
+#include "measure/patternrows.h"
 #include "measure/policytrials.h"
 #include "measure/report.h"
 
@@ -40,6 +41,7 @@
             {"leaving", measureLeaving},
             {"overload", measureOverload},
             {"fairness", measureFairness},
+            {"patterns", measurePatterns},
             {"forwarding", measureForwarding},
             {"newflows", measureNewFlows},
             {"flowmemory", measureFlowMemory},
