Let a few instances list a large directory for all

Whether a directory is large is seen from its pages, not from a count of ours. Tests: AFewInstancesListALargeDirectoryForAll, SavesTheFirstSnapshotAtOnce.

--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -36,7 +36,10 @@
 void FlowController::handleReply(const StoreReply &reply, Milliseconds now)
 {
     const bool wasFollowing = m_reader.isFollowing();
-    const Revision asOf = reply.snapshot ? reply.snapshot->to : reply.asOf;
+    Revision asOf = reply.asOf;
+    if (m_pending == StoreCall::Kind::Snapshot) {
+        asOf = reply.snapshot ? reply.snapshot->to : Revision{};
+    }
     m_reader.handleEnd(reply.outcome, asOf, reply.nextPage, now);
     reportStoreChange(reply.detail, now);
     if (reply.outcome != StoreOutcome::Done) {
@@ -62,7 +65,6 @@
         }
         break;
     }
-    m_reader.setDirectorySize(m_directory.presentCount());
     m_hasNews = m_hasNews || m_pending != StoreCall::Kind::Declaration;
 }
 
--- a/src/core/flow/storereader.cpp
+++ b/src/core/flow/storereader.cpp
@@ -16,11 +16,14 @@
 /// two readers confirm once a pace each, so their news has failed to come several times by then.
 constexpr double FollowerPatience = 1.25;
 constexpr double PatienceSpread = 0.5;
-/// Upstreams that the store lists in one page; a snapshot would not be cheaper than that.
-constexpr std::size_t UpstreamsPerPage = 500;
 /// Age at which a snapshot is replaced: a quarter of the 20 s for which platforms keep changes, as
 /// whoever reads it needs the changes since.
 constexpr Milliseconds SnapshotInterval = 5_s;
+/// Share of the instances that list a large directory at once when there is no snapshot; doubles
+/// with each draw: the last instance lists after four draws.
+constexpr std::uint64_t FirstListers = 16;
+/// Time between two draws: a list of some thousand upstreams takes about as long.
+constexpr Milliseconds DrawInterval = 1_s;
 /// Upper end of a random delay, within which the first of several readers saves for all.
 constexpr Milliseconds SnapshotSpread = 2_s;
 
@@ -55,7 +58,7 @@
     }
     StoreCall call;
     const bool isDeclarationDue = isFollowing() && m_wantedDeclaration > m_declaration;
-    if (!isDeclarationDue && isLeftToOthers(now)) {
+    if (!isDeclarationDue && !isSnapshotDue(now) && isLeftToOthers(now)) {
         return std::nullopt;
     }
     m_isPending = true;
@@ -81,12 +84,13 @@
 
 bool StoreReader::isSnapshotDue(Milliseconds now) const
 {
-    return isFollowing() && !m_isFollower && m_directorySize > UpstreamsPerPage &&
+    return isFollowing() && (!m_isFollower || m_isSnapshotMissing) && m_isLarge &&
            now >= m_snapshotDue;
 }
 
 void StoreReader::handleSnapshotSaved(Milliseconds now)
 {
+    m_isSnapshotMissing = false;
     const auto spread = static_cast<std::uint64_t>(SnapshotSpread.value);
     m_snapshotDue = now + SnapshotInterval +
                     Milliseconds{static_cast<std::int64_t>(randomBelow(m_random, spread))};
@@ -119,8 +123,17 @@
         return;
     }
     if (m_kind == StoreCall::Kind::Snapshot) {
-        m_phase = asOf == Revision{} ? Phase::List : Phase::CatchUp;
-        m_after = asOf;
+        if (asOf != Revision{}) {
+            m_isLarge = true;
+            m_phase = Phase::CatchUp;
+            m_after = asOf;
+            m_listRevision.reset();
+            m_page.clear();
+        } else if (m_page.empty()) {
+            m_phase = Phase::List;
+        } else {
+            drawLister(now);
+        }
         return;
     }
     m_confirmedAt = now;
@@ -139,14 +152,34 @@
     }
     m_listRevision = m_listRevision ? *m_listRevision : asOf;
     if (nextPage) {
+        const bool isFirst = m_page.empty();
         m_page = *nextPage;
+        if (isFirst) {
+            m_isLarge = true;
+            drawLister(now);
+        }
         return;
     }
     beginFollowing(*m_listRevision, now);
+    m_snapshotDue = now;
+    m_isSnapshotMissing = true;
     m_listRevision.reset();
     m_page.clear();
 }
 
+void StoreReader::drawLister(Milliseconds now)
+{
+    const std::uint64_t share = FirstListers >> std::min<std::uint32_t>(m_draws, 63);
+    if (share <= 1 || randomBelow(m_random, share) == 0) {
+        m_phase = Phase::List;
+        m_draws = 0;
+        return;
+    }
+    ++m_draws;
+    m_phase = Phase::Snapshot;
+    m_due = now + DrawInterval;
+}
+
 void StoreReader::beginFollowing(Revision revision, Milliseconds now)
 {
     m_isImpatient = false;
--- a/src/core/flow/storereader.h
+++ b/src/core/flow/storereader.h
@@ -62,7 +62,8 @@
 ///
 /// Snapshots answer the load pattern of many instances that start at once in a large fleet: all
 /// lists together would fill the store's link for seconds. Only readers of a directory of more than
-/// one page save them.
+/// one page save them. While there is none, a drawn share of the instances lists and the others
+/// wait for the first to save one.
 /// Deterministic. Thread safety: none.
 class StoreReader
 {
@@ -98,8 +99,6 @@
     }
     /// Asks for the declaration until @p revision or a newer one is in force.
     void wantDeclaration(Revision revision);
-    /// Sets how many upstreams have an entry, which decides whether snapshots are worth saving.
-    void setDirectorySize(std::size_t size) { m_directorySize = size; }
     /// Takes notice that some instance has saved a snapshot.
     void handleSnapshotSaved(Milliseconds now);
     /// Tells which declaration is in force.
@@ -129,6 +128,8 @@
     bool isLeftToOthers(Milliseconds now) const;
     bool isSnapshotDue(Milliseconds now) const;
     void beginFollowing(Revision revision, Milliseconds now);
+    /// Draws whether this instance lists the whole of a large directory or waits for a snapshot.
+    void drawLister(Milliseconds now);
 
     Times m_times;
     RandomSource m_random;
@@ -136,8 +137,11 @@
     double m_patience = 1;
     bool m_isPending = false;
     Phase m_phase = Phase::Snapshot;
-    std::size_t m_directorySize = 0;
+    /// The directory takes more than one page to list, or did so for whoever saved a snapshot.
+    bool m_isLarge = false;
     Milliseconds m_snapshotDue;
+    /// This instance had to list: whoever starts now needs its snapshot, follower or not.
+    bool m_isSnapshotMissing = false;
     StoreCall::Kind m_kind = StoreCall::Kind::List;
     Milliseconds m_startedAt;
     Milliseconds m_due;
@@ -145,6 +149,8 @@
     /// Revision of the first page: later pages may be newer, and a watch must miss nothing.
     std::optional<Revision> m_listRevision;
     std::string m_page;
+    /// Draws of drawLister() that were lost.
+    std::uint32_t m_draws = 0;
     std::uint32_t m_failures = 0;
     std::optional<Milliseconds> m_confirmedAt;
     bool m_isFollower = false;
