Let the soak harm the links of the store and of upstreams

Until now the stand-ins themselves misbehaved. A loopback proxy in front of the store delays, resets, loses requests or answers, or goes silent, on open and new connections; datagrams to and from an upstream are delayed, lost or swallowed. Faults overlap.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -19,6 +19,8 @@
 import tempfile
 import time
 
+from proxy import PacketLink, StreamProxy
+
 PACKET_PORT = 7000
 STATUS_PORT = 7001
 PEER_PORT = 7002
@@ -163,6 +165,16 @@
         self.is_alive = True
         self.disturbed_at = -STABILITY_S
         self.sequence = 0
+        self.link = PacketLink(world.random)
+
+    async def harm_link(self, fault, seconds):
+        self.link.fault = fault
+        end = self.world.now() + seconds
+        while self.world.now() < end:
+            self.disturbed_at = self.world.now()
+            await asyncio.sleep(0.2)
+        self.link.fault = "none"
+        self.disturbed_at = self.world.now()
 
     async def start(self):
         loop = asyncio.get_running_loop()
@@ -207,6 +219,12 @@
         self.listener.close()
 
     def datagram_received(self, data, address):
+        if self.is_alive:
+            self.link.carry(self.receive, data, address)
+
+    def receive(self, data, address):
+        if not self.is_alive:
+            return
         meant = struct.unpack(">Q", data[:8])[0]
         _, flags, _, dport, sport, src, dst, seq, ack, length, echo = HEAD.unpack(data[8:40])
         if meant != self.identity:
@@ -232,6 +250,11 @@
             self.send(flow, ACK, self.flows[flow] + 1, acknowledged, b"answer to " + body, echo)
 
     def send(self, flow, flags, seq, ack, body, echo, checksum=1):
+        self.link.carry(self.send_now, flow, flags, seq, ack, body, echo, checksum)
+
+    def send_now(self, flow, flags, seq, ack, body, echo, checksum):
+        if not self.is_alive:
+            return
         src, sport, dst, dport = flow
         head = HEAD.pack(checksum, flags, 0, sport, dport, dst, src, seq, ack, len(body), echo)
         client = ".".join(str(part) for part in struct.pack(">I", src))
@@ -264,13 +287,14 @@
         self.is_disturbed = False
         self.is_ready = False
         self.misses = 2
+        self.proxy = StreamProxy(world.random)
         seeds = ",".join(f"{ip(1, i)}:{PEER_PORT}" for i in (1, 2))
         with open(self.settings, "w", encoding="ascii") as stream:
             stream.write(
                 f"[forwarder]\nname = {self.name}\ndata_centre = east\nregion = all\n"
                 f"listen = {self.address}:{PACKET_PORT}\nstatus_listen = {self.address}:{STATUS_PORT}\n"
                 f"peer_listen = {self.address}:{PEER_PORT}\nseeds = {seeds}\n"
-                f"store = {ip(4, index)}:{STORE_PORT}\nleaving_limit = 3 s\ndeclaration_limit = 3 s\n"
+                f"store = {ip(5, index)}:{STORE_PORT}\nleaving_limit = 3 s\ndeclaration_limit = 3 s\n"
                 f"flow_lifetime = 60 s\nstop_limit = 6 s\nconfirmation = 2 s\n")
 
     async def start(self):
@@ -332,6 +356,14 @@
         self.is_disturbed = False
         self.disturb()
 
+    async def harm_store_link(self, fault, seconds):
+        self.is_disturbed = True
+        self.proxy.begin(fault)
+        await asyncio.sleep(seconds)
+        self.proxy.begin("none")
+        self.is_disturbed = False
+        self.disturb()
+
 
 class Client(asyncio.DatagramProtocol):
     """Users at one address: long flows and flows of one request."""
@@ -510,7 +542,8 @@
 
     async def one_fault(self):
         kind = self.random.choice(("kill", "kill", "term", "hup", "pause", "store", "store", "history",
-                                   "leave", "crash", "declare", "herd", "foreign"))
+                                   "leave", "crash", "declare", "herd", "foreign", "store link",
+                                   "store link", "upstream link"))
         self.count("fault " + kind)
         forwarder = self.random.choice(self.forwarders)
         ready = [u for u in self.upstreams if u.is_alive and u.state == "ready"]
@@ -531,6 +564,16 @@
             share = self.random.choice((1, len(self.forwarders)))
             for each in self.random.sample(self.forwarders, share):
                 asyncio.create_task(each.lose_store(fault, self.random.uniform(0.5, 4)))
+        elif kind == "store link":
+            fault = self.random.choice(StreamProxy.FAULTS)
+            share = self.random.choice((1, 2, len(self.forwarders)))
+            for each in self.random.sample(self.forwarders, min(share, len(self.forwarders))):
+                asyncio.create_task(each.harm_store_link(fault, self.random.uniform(0.3, 4)))
+        elif kind == "upstream link":
+            if ready:
+                fault = self.random.choice(PacketLink.FAULTS)
+                victim = self.random.choice(ready)
+                asyncio.create_task(victim.harm_link(fault, self.random.uniform(0.5, 4)))
         elif kind == "history":
             self.store.forget_history()
         elif kind == "foreign":
@@ -563,6 +606,8 @@
     async def run(self):
         for forwarder in self.forwarders:
             await self.store.serve(forwarder.index)
+            await forwarder.proxy.serve(ip(5, forwarder.index), STORE_PORT,
+                                        (ip(4, forwarder.index), STORE_PORT))
         self.declare()
         for service, count in (("board", 4), ("desk", 3)):
             for _ in range(count):
