Ask twice before an upstream counts as unreachable; serve the metrics that the page names

Metrics: OPERATIONS.md named five that no forwarder served (probes, peers). They are served now, with times of openings and answers by route, store calls by kind and outcome, the age of the directory and of news. One function prints distributions.

--- a/fakes/flowfleet.cpp
+++ b/fakes/flowfleet.cpp
@@ -140,6 +140,7 @@
         hooks.random = seededRandom(random());
         hooks.report = [](const FlowPacket &, const FlowDecision &, Milliseconds) {};
         hooks.reportAnswer = [](const FlowPacket &, UpstreamKey, Milliseconds, Milliseconds) {};
+        hooks.reportOpening = [](const FlowPacket &, Milliseconds) {};
         hooks.probe = [this, &balancer](UpstreamKey key, Endpoint endpoint) {
             const Milliseconds limit =
                     upstreams[endpoint.address - 1].isSilent ? ProbeTimeout : 2_ms;
--- a/src/core/flow/flowcontroller.h
+++ b/src/core/flow/flowcontroller.h
@@ -76,6 +76,8 @@
     Revision revision() const { return m_routes ? m_routes->revision : Revision{}; }
     const UpstreamDirectory &directory() const { return m_directory; }
     bool isStoreAway() const { return m_reader.isAway(); }
+    /// Time of the store's last answer, to this instance or to a peer; nothing before the first.
+    std::optional<Milliseconds> confirmedAt() const { return m_reader.confirmedAt(); }
 
 private:
     void take(const StoreChange &change, Milliseconds now);
--- a/src/core/flow/flowrouter.cpp
+++ b/src/core/flow/flowrouter.cpp
@@ -14,6 +14,9 @@
 constexpr Milliseconds MinRetransmission = 150_ms;
 /// Shortest time between two connection attempts to one upstream.
 constexpr Milliseconds ProbeInterval = 500_ms;
+/// Failed attempts in a row that make an upstream unreachable. A single one may be lost, or wait
+/// behind other packets on this instance's own link.
+constexpr std::uint32_t ProbesPerVerdict = 2;
 /// Age up to which a failed connection attempt speaks for requests that are sent after it.
 constexpr Milliseconds ProbeValidity = 1_s;
 /// Clients repeat an unacknowledged packet after 200 ms; with the attempt's time limit this much
@@ -104,7 +107,7 @@
         return std::nullopt;
     }
     if (!context.flow) {
-        return place(context, std::nullopt, FlowReason::Placed);
+        return place(context, std::nullopt, context.now, FlowReason::Placed);
     }
     Flow &flow = *context.flow;
     const UpstreamRecord *record = m_view->find(flow.upstream);
@@ -125,12 +128,13 @@
         return forward(context, *record, FlowReason::OpeningRepeated);
     }
     const UpstreamKey last = flow.upstream;
+    const Milliseconds begin = flow.requestAt;
     m_flows.erase(context.packet.key);
-    return place(context, last, FlowReason::OpeningMoved);
+    return place(context, last, begin, FlowReason::OpeningMoved);
 }
 
 FlowDecision FlowRouter::place(Context &context, std::optional<UpstreamKey> avoided,
-                               FlowReason reason)
+                               Milliseconds begin, FlowReason reason)
 {
     const ServiceId service = chooseService(*context.route, m_hooks.random());
     const UpstreamRecord *record =
@@ -141,6 +145,7 @@
     }
     Flow &flow = m_flows.insert(context.packet.key, record->entry, FlowPhase::Opening, context.now);
     flow.sentEnd = context.packet.sequence + 1;
+    flow.requestAt = begin;
     m_ledger.noteOpening(flow.account, context.now);
     return forward(context, *record, reason);
 }
@@ -242,10 +247,18 @@
 void FlowRouter::probe(const Flow &flow, Milliseconds now)
 {
     UpstreamAccount &account = m_ledger.at(flow.account);
-    const UpstreamRecord *record = m_view->find(flow.upstream);
-    if (record && (!account.probedAt || now - *account.probedAt >= ProbeInterval)) {
+    if (!account.probedAt || now - *account.probedAt >= ProbeInterval) {
+        account.failedProbes = 0;
+        account.probedSince = now;
+        sendProbe(account, now);
+    }
+}
+
+void FlowRouter::sendProbe(UpstreamAccount &account, Milliseconds now)
+{
+    if (const UpstreamRecord *record = m_view->find(account.key)) {
         account.probedAt = now;
-        m_hooks.probe(flow.upstream, record->entry.endpoint);
+        m_hooks.probe(account.key, record->entry.endpoint);
     }
 }
 
@@ -258,11 +271,18 @@
         return resets;
     }
     UpstreamAccount &account = m_ledger.at(*id);
-    const bool gaveSign = account.probedAt && account.lastSign >= *account.probedAt;
-    if (isReachable || gaveSign) {
+    if (isReachable || account.lastSign >= account.probedSince) {
         account.unreachableAt.reset();
         return resets;
     }
+    if (++account.failedProbes < ProbesPerVerdict) {
+        sendProbe(account, now);
+        return resets;
+    }
+    // An instance that hears of no other upstream either may be the one that is cut off.
+    if (m_ledger.lastSign() < account.probedSince) {
+        return resets;
+    }
     account.unreachableAt = now;
     m_flows.forEach([&](const FlowKey &key, const Flow &flow) {
         const bool isLost = flow.account == *id && flow.isBusy && flow.isIdempotent &&
@@ -295,6 +315,7 @@
         m_flows.setPhase(flow, FlowPhase::Open);
         flow.acknowledged = packet.acknowledgment;
         m_ledger.noteSign(flow.account, now);
+        m_hooks.reportOpening(packet, now - flow.requestAt);
     }
     if (distance(flow.acknowledged, packet.acknowledgment) > 0) {
         flow.acknowledged = packet.acknowledgment;
--- a/src/core/flow/flowrouter.h
+++ b/src/core/flow/flowrouter.h
@@ -22,6 +22,8 @@
     /// route's target; zero: the route is gone.
     std::function<void(const FlowPacket &, UpstreamKey, Milliseconds duration, Milliseconds target)>
             reportAnswer;
+    /// Called with the time from a client's first opening packet to the end of the handshake.
+    std::function<void(const FlowPacket &, Milliseconds duration)> reportOpening;
     /// Asks for a connection attempt; its result comes with handleProbe().
     std::function<void(UpstreamKey, Endpoint)> probe;
 };
@@ -65,13 +67,16 @@
     std::optional<FlowDecision> filterKnownFlow(Context &context);
     std::optional<FlowDecision> filterCookie(Context &context);
 
-    FlowDecision place(Context &context, std::optional<UpstreamKey> avoided, FlowReason reason);
+    /// @p begin: when the client asked first.
+    FlowDecision place(Context &context, std::optional<UpstreamKey> avoided, Milliseconds begin,
+                       FlowReason reason);
     FlowDecision forward(const Context &context, const UpstreamRecord &record,
                          FlowReason reason) const;
     std::optional<FlowDecision> filterLostUpstream(const Context &context,
                                                    const UpstreamRecord *record) const;
     std::optional<FlowDecision> filterUnreachable(const Context &context) const;
     void probe(const Flow &flow, Milliseconds now);
+    void sendProbe(UpstreamAccount &account, Milliseconds now);
     void observe(Context &context);
 
     FlowHooks m_hooks;
--- a/src/core/flow/flowtable.h
+++ b/src/core/flow/flowtable.h
@@ -32,6 +32,7 @@
     Milliseconds lastSeen;
     /// Last time that an opening packet was forwarded.
     Milliseconds lastOpeningAt;
+    /// When the last request was sent; while opening: the first opening packet.
     Milliseconds requestAt;
     /// Sequence number after the last byte of the client.
     std::uint32_t sentEnd = 0;
--- a/src/core/flow/storereader.cpp
+++ b/src/core/flow/storereader.cpp
@@ -29,6 +29,23 @@
 
 } // namespace
 
+std::string_view toString(StoreCall::Kind kind)
+{
+    switch (kind) {
+    case StoreCall::Kind::Snapshot:
+        return "snapshot";
+    case StoreCall::Kind::List:
+        return "list";
+    case StoreCall::Kind::Watch:
+        return "watch";
+    case StoreCall::Kind::Declaration:
+        return "declaration";
+    case StoreCall::Kind::SaveSnapshot:
+        break;
+    }
+    return "save_snapshot";
+}
+
 std::string_view toString(StoreOutcome outcome)
 {
     switch (outcome) {
@@ -69,7 +86,8 @@
         call.pageAfter = m_page;
     } else if (isDeclarationDue) {
         call.kind = StoreCall::Kind::Declaration;
-        call.mayBeOld = !m_hasAskedOld;
+        // Without any declaration in force, an old one would be taken for the present one.
+        call.mayBeOld = !m_hasAskedOld && m_declaration != Revision{};
         m_hasAskedOld = true;
     } else if (isSnapshotDue(now)) {
         call.kind = StoreCall::Kind::SaveSnapshot;
--- a/src/core/flow/storereader.h
+++ b/src/core/flow/storereader.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace damaskhall {
 
@@ -42,7 +43,10 @@
     std::shared_ptr<const DirectoryNews> snapshot;
 };
 
-/// How a read ended.
+/// Returns the name in lower case with underscores. Thread safety: reentrant.
+std::string_view toString(StoreCall::Kind kind);
+
+/// How a call ended.
 enum class StoreOutcome : std::uint8_t {
     Done,
     /// The changes asked for are no longer kept: list again.
--- a/src/core/flow/upstreamledger.cpp
+++ b/src/core/flow/upstreamledger.cpp
@@ -84,6 +84,8 @@
 {
     UpstreamAccount &account = at(id);
     account.lastSign = now;
+    m_lastSign = now;
+    account.failedProbes = 0;
     account.silentSince.reset();
     account.unreachableAt.reset();
     account.failedTries = 0;
--- a/src/core/flow/upstreamledger.h
+++ b/src/core/flow/upstreamledger.h
@@ -32,10 +32,13 @@
     Milliseconds lastSign;
     /// Since when a request waits without any sign of life.
     std::optional<Milliseconds> stalledSince;
-    /// Last failed connection attempt since which the upstream gave no sign of life.
+    /// Last verdict of failed connection attempts since which the upstream gave no sign of life.
     std::optional<Milliseconds> unreachableAt;
     /// Last time that a connection attempt was asked for.
     std::optional<Milliseconds> probedAt;
+    /// Failed attempts in a row, and when the first of them was asked for.
+    std::uint32_t failedProbes = 0;
+    Milliseconds probedSince;
     /// Smoothed time from request to answer in milliseconds; zero: no sample yet.
     double answerTime = 0;
     Milliseconds sampledAt;
@@ -65,6 +68,8 @@
     void noteRequest(AccountId id, Milliseconds now);
     /// Notes that a client's packet proved an answer of the upstream.
     void noteSign(AccountId id, Milliseconds now);
+    /// Time of the last sign of any upstream.
+    Milliseconds lastSign() const { return m_lastSign; }
     /// Notes the time from a request to its answer.
     void noteAnswer(AccountId id, Milliseconds duration, Milliseconds now);
 
@@ -82,6 +87,7 @@
     std::vector<std::uint32_t> m_free;
     std::unordered_map<UpstreamKey, std::uint32_t> m_index;
     /// Until it is measured: idle flows must count, or they gather at one upstream.
+    Milliseconds m_lastSign;
     double m_busyPerFlow = 0.05;
     std::unordered_map<ServiceId, double> m_meanAnswerTimes;
 };
--- a/src/forwarder/forwarderlog.cpp
+++ b/src/forwarder/forwarderlog.cpp
@@ -1,9 +1,10 @@
 #include "forwarder/forwarderlog.h"
 
+#include "forwarder/routemetrics.h"
 #include "metrics/distribution.h"
 
 #include <array>
-#include <mutex>
+#include <map>
 #include <sstream>
 
 namespace damaskhall {
@@ -101,12 +102,9 @@
                       Milliseconds target)
     {
         const Milliseconds now = clock.now();
-        {
-            const std::lock_guard lock(mutex);
-            answers.add(duration, now);
-            lateAnswers += target > 0_ms && duration > target ? 1 : 0;
-        }
-        if (target == 0_ms || duration <= target) {
+        const bool isLate = target > 0_ms && duration > target;
+        routes.addAnswer(packet.key.route, duration, isLate, now);
+        if (!isLate) {
             return;
         }
         if (const auto left = pass(lateAllowance, now)) {
@@ -124,9 +122,10 @@
     Clock clock;
     std::array<Allowance, FlowReasonCount> allowances{};
     Allowance lateAllowance;
-    mutable std::mutex mutex;
-    Distribution answers;
-    std::uint64_t lateAnswers = 0;
+    RouteMetrics routes;
+    Distribution storeCalls;
+    Distribution newsAges;
+    std::map<std::pair<StoreCall::Kind, StoreOutcome>, std::uint64_t> storeOutcomes;
     std::uint64_t mistakes = 0;
     std::uint64_t storeLosses = 0;
     std::uint64_t peerMistakes = 0;
@@ -152,6 +151,9 @@
                             Milliseconds target) {
                 d->reportAnswer(packet, upstream, duration, target);
             },
+            [d = m_d.get()](const FlowPacket &packet, Milliseconds duration) {
+                d->routes.addOpening(packet.key.route, duration, d->clock.now());
+            },
             {}};
 }
 
@@ -239,40 +241,61 @@
                  {{"mistakes", toString(error)}});
 }
 
-std::string ForwarderLog::metrics(const FlowController &controller, const FlowCounts &counts,
-                                  std::uint64_t lostLines) const
+void ForwarderLog::reportStoreCall(StoreCall::Kind kind, StoreOutcome outcome,
+                                   Milliseconds duration)
+{
+    ++m_d->storeOutcomes[{kind, outcome}];
+    if (kind != StoreCall::Kind::Watch) {
+        m_d->storeCalls.add(duration, m_d->clock.now());
+    }
+}
+
+void ForwarderLog::reportNews(Milliseconds age)
+{
+    m_d->newsAges.add(age, m_d->clock.now());
+}
+
+std::string ForwarderLog::metrics(const State &state) const
 {
     std::ostringstream text;
     for (int i = 0; i < FlowReasonCount; ++i) {
         const auto reason = static_cast<FlowReason>(i);
         text << "damaskhall_flow_packets_total{reason=\"" << toString(reason) << "\"} "
-             << counts.byReason.at(static_cast<std::size_t>(i)) << "\n";
+             << state.counts.byReason.at(static_cast<std::size_t>(i)) << "\n";
     }
-    text << "damaskhall_flow_packets_not_held_total " << counts.heldTooMany << "\n"
-         << "damaskhall_flows " << counts.flows << "\n"
-         << "damaskhall_declaration_version " << controller.revision().value << "\n"
-         << "damaskhall_store_away " << (controller.isStoreAway() ? 1 : 0) << "\n"
+    const Milliseconds now = m_d->clock.now();
+    const auto confirmed = state.controller.confirmedAt();
+    text << "damaskhall_flow_packets_not_held_total " << state.counts.heldTooMany << "\n"
+         << "damaskhall_flows " << state.counts.flows << "\n"
+         << "damaskhall_declaration_version " << state.controller.revision().value << "\n"
+         << "damaskhall_directory_age_milliseconds "
+         << (confirmed ? (now - *confirmed).value : now.value) << "\n"
+         << "damaskhall_store_away " << (state.controller.isStoreAway() ? 1 : 0) << "\n"
          << "damaskhall_store_losses_total " << m_d->storeLosses << "\n"
-         << "damaskhall_store_mistakes_total " << m_d->mistakes << "\n"
-         << "damaskhall_log_lines_lost_total " << lostLines << "\n";
+         << "damaskhall_store_mistakes_total " << m_d->mistakes << "\n";
+    for (const auto &[call, count] : m_d->storeOutcomes) {
+        text << "damaskhall_store_calls_total{call=\"" << toString(call.first) << "\",outcome=\""
+             << toString(call.second) << "\"} " << count << "\n";
+    }
+    printDistribution(text, "damaskhall_store_call_milliseconds", "", m_d->storeCalls, now);
+    printDistribution(text, "damaskhall_news_age_milliseconds", "", m_d->newsAges, now);
+    text << "damaskhall_peers " << state.peers << "\n"
+         << "damaskhall_peers_suspected_total "
+         << m_d->peerEvents.at(static_cast<std::size_t>(ControlEvent::MemberSuspected)) << "\n"
+         << "damaskhall_peer_mistakes_total " << m_d->peerMistakes << "\n"
+         << "damaskhall_log_lines_lost_total " << state.lostLines << "\n"
+         << "damaskhall_upstream_probes_total{result=\"reachable\"} " << m_d->probesAnswered << "\n"
+         << "damaskhall_upstream_probes_total{result=\"unreachable\"} " << m_d->probesFailed
+         << "\n";
     std::array<int, 5> standings{};
-    for (const UpstreamRecord &record : controller.directory().records()) {
+    for (const UpstreamRecord &record : state.controller.directory().records()) {
         ++standings.at(static_cast<std::size_t>(record.standing));
     }
     for (int i = 0; i < static_cast<int>(standings.size()); ++i) {
         text << "damaskhall_upstreams{standing=\"" << toString(static_cast<UpstreamStanding>(i))
              << "\"} " << standings.at(static_cast<std::size_t>(i)) << "\n";
     }
-    const std::lock_guard lock(m_d->mutex);
-    text << "damaskhall_late_answers_total " << m_d->lateAnswers << "\n"
-         << "damaskhall_answer_milliseconds_count " << m_d->answers.count() << "\n"
-         << "damaskhall_answer_milliseconds_sum " << m_d->answers.sum().value << "\n";
-    if (const auto quantiles = m_d->answers.quantiles(m_d->clock.now())) {
-        for (std::size_t i = 0; i < quantiles->size(); ++i) {
-            text << "damaskhall_answer_milliseconds{quantile=\"" << DistributionQuantiles.at(i)
-                 << "\"} " << quantiles->at(i) << "\n";
-        }
-    }
+    text << m_d->routes.text(now);
     return text.str();
 }
 
--- a/src/forwarder/forwarderlog.h
+++ b/src/forwarder/forwarderlog.h
@@ -36,9 +36,23 @@
     void reportReload(const ForwarderSettings &before, const ForwarderSettings &after);
     void reportReloadFailure(const Error &error);
 
+    /// Counts a call to the store and, unless it waited for a change, takes its time.
+    void reportStoreCall(StoreCall::Kind kind, StoreOutcome outcome, Milliseconds duration);
+    /// Takes the time since the store confirmed what a peer's news says, on its arrival.
+    void reportNews(Milliseconds age);
+
+    /// State outside of the log that the metrics show.
+    struct State
+    {
+        const FlowController &controller;
+        FlowCounts counts;
+        /// Other forwarders that are not dead.
+        std::size_t peers = 0;
+        std::uint64_t lostLines = 0;
+    };
+
     /// Returns all metrics in the Prometheus text format.
-    std::string metrics(const FlowController &controller, const FlowCounts &counts,
-                        std::uint64_t lostLines) const;
+    std::string metrics(const State &state) const;
 
 private:
     struct Private;
--- a/src/forwarder/forwarderprocess.cpp
+++ b/src/forwarder/forwarderprocess.cpp
@@ -144,6 +144,7 @@
                 lines.reportPeerMistake(news.assume_error(), from);
                 return;
             }
+            lines.reportNews(news.assume_value().age);
             send(peers->passOn(news.assume_value(), now));
             controller->handleNews(news.assume_value(), now);
             advance();
@@ -191,7 +192,8 @@
 
     std::string metrics() const
     {
-        return lines.metrics(*controller, worker->counts(), log.lostLines());
+        return lines.metrics(
+                {*controller, worker->counts(), peers ? peers->peerCount() : 0, log.lostLines()});
     }
 
     void advance()
@@ -199,7 +201,8 @@
         const Milliseconds now = clock.now();
         controller->tick(now);
         if (const auto call = controller->nextCall(now)) {
-            callStore(*call, [this](const StoreReply &reply) {
+            callStore(*call, [this, kind = call->kind, now](const StoreReply &reply) {
+                lines.reportStoreCall(kind, reply.outcome, clock.now() - now);
                 controller->handleReply(reply, clock.now());
                 spreadNews(clock.now());
                 advance();
--- a/src/metrics/distribution.cpp
+++ b/src/metrics/distribution.cpp
@@ -82,4 +82,19 @@
     return values;
 }
 
+void printDistribution(std::ostream &out, std::string_view metric, const std::string &label,
+                       const Distribution &distribution, Milliseconds now)
+{
+    const std::string labels = label.empty() ? "" : "{" + label + "}";
+    out << metric << "_count" << labels << " " << distribution.count() << "\n"
+        << metric << "_sum" << labels << " " << distribution.sum().value << "\n";
+    if (const auto quantiles = distribution.quantiles(now)) {
+        const std::string before = label.empty() ? "{" : "{" + label + ",";
+        for (std::size_t i = 0; i < quantiles->size(); ++i) {
+            out << metric << before << "quantile=\"" << DistributionQuantiles.at(i) << "\"} "
+                << quantiles->at(i) << "\n";
+        }
+    }
+}
+
 } // namespace damaskhall
--- a/src/metrics/distribution.h
+++ b/src/metrics/distribution.h
@@ -6,6 +6,9 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <ostream>
+#include <string>
+#include <string_view>
 
 namespace damaskhall {
 
@@ -37,4 +40,9 @@
     std::unique_ptr<Private> m_d;
 };
 
+/// Writes count, sum and quantiles in the Prometheus text format. @p label: a label with its value,
+/// or empty. Thread safety: as Distribution.
+void printDistribution(std::ostream &out, std::string_view metric, const std::string &label,
+                       const Distribution &distribution, Milliseconds now);
+
 } // namespace damaskhall
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -162,15 +162,7 @@
             if (!distribution) {
                 continue;
             }
-            const std::string labels = labelsOf(namesOf(key));
-            if (const auto quantiles = distribution->quantiles(clock.now())) {
-                for (std::size_t i = 0; i < quantiles->size(); ++i) {
-                    out << metric << "{" << labels << ",quantile=\"" << DistributionQuantiles.at(i)
-                        << "\"} " << quantiles->at(i) << "\n";
-                }
-            }
-            out << metric << "_sum{" << labels << "} " << distribution->sum().value << "\n";
-            out << metric << "_count{" << labels << "} " << distribution->count() << "\n";
+            printDistribution(out, metric, labelsOf(namesOf(key)), *distribution, clock.now());
         }
     }
 
--- a/tests/core/flow/storereader_test.cpp
+++ b/tests/core/flow/storereader_test.cpp
@@ -133,6 +133,7 @@
     await();
     end(StoreOutcome::Done, 100);
     reader.setFollower(true);
+    reader.setDeclaration({5});
     reader.wantDeclaration({7});
     const StoreCall cheap = await();
     EXPECT_EQ(cheap.kind, StoreCall::Kind::Declaration);
@@ -204,6 +205,19 @@
     EXPECT_EQ(await().kind, StoreCall::Kind::SaveSnapshot);
 }
 
+// Guards against resets by an instance that starts with a declaration from before the snapshot.
+TEST_F(StoreReaderTest, StartsWithThePresentDeclaration)
+{
+    await();
+    end(StoreOutcome::Done, 100);
+    await();
+    end(StoreOutcome::Done, 105);
+    reader.wantDeclaration({7});
+    const StoreCall call = await();
+    EXPECT_EQ(call.kind, StoreCall::Kind::Declaration);
+    EXPECT_FALSE(call.mayBeOld);
+}
+
 // Guards against an instance that asks for a snapshot again and again that is too old.
 TEST_F(StoreReaderTest, ListsWhenTheSnapshotIsTooOld)
 {
--- a/tests/support/flowfixture.h
+++ b/tests/support/flowfixture.h
@@ -76,6 +76,9 @@
                                         Milliseconds) { reasons.push_back(decision.reason); },
                                  [this](const FlowPacket &, UpstreamKey, Milliseconds duration,
                                         Milliseconds) { answers.push_back(duration); },
+                                 [this](const FlowPacket &, Milliseconds duration) {
+                                     openings.push_back(duration);
+                                 },
                                  [this](UpstreamKey key, Endpoint) { probed.push_back(key); }})
     {
     }
@@ -114,6 +117,7 @@
     std::vector<FlowReason> reasons;
     std::vector<UpstreamKey> probed;
     std::vector<Milliseconds> answers;
+    std::vector<Milliseconds> openings;
     /// Random numbers that the router has drawn.
     int randomDraws = 0;
     FlowRouter router;
