--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -42,6 +42,10 @@
     }
     m_reader.handleEnd(reply.outcome, asOf, reply.nextPage, now);
     reportStoreChange(reply.detail, now);
+    if (m_pending == StoreCall::Kind::SaveSnapshot) {
+        m_hooks.reportSnapshot(reply.outcome, reply.detail, m_reader.revision());
+        return;
+    }
     if (reply.outcome != StoreOutcome::Done) {
         return;
     }
@@ -49,8 +53,6 @@
     case StoreCall::Kind::Snapshot:
         takeSnapshot(reply, now);
         return;
-    case StoreCall::Kind::SaveSnapshot:
-        return;
     case StoreCall::Kind::List:
         takePage(reply, now);
         break;
@@ -59,7 +61,7 @@
             endList(now);
         }
         [[fallthrough]];
-    case StoreCall::Kind::Declaration:
+    default:
         for (const StoreChange &change : reply.changes) {
             take(change, now);
         }
@@ -105,6 +107,7 @@
 
 void FlowController::endList(Milliseconds now)
 {
+    m_hooks.reportDirectory(m_pending, m_listed.size(), m_listRevision);
     m_directory.handleListEnd(std::exchange(m_listed, {}), m_listRevision, now);
     // What a list removed is not known change by change.
     m_recent.clear();
--- a/src/core/flow/flowcontroller.h
+++ b/src/core/flow/flowcontroller.h
@@ -36,6 +36,10 @@
     std::function<void(const RouteTable &)> reportDeclaration;
     std::function<void(const std::string &mistake, Revision)> reportMistake;
     std::function<void(bool isAway, const std::string &detail)> reportStore;
+    /// The directory is complete; @p call says where it came from: List or Watch, after a snapshot.
+    std::function<void(StoreCall::Kind call, std::size_t upstreams, Revision)> reportDirectory;
+    /// The end of an attempt to save a snapshot.
+    std::function<void(StoreOutcome, const std::string &detail, Revision)> reportSnapshot;
 };
 
 /// Control state of one balancer: the declaration and the upstreams, from the platform's store.
--- a/src/forwarder/forwarderlog.cpp
+++ b/src/forwarder/forwarderlog.cpp
@@ -13,6 +13,9 @@
 
 /// Lines about single flows per second and reason; the counters stay complete.
 constexpr std::uint32_t MaxFlowLinesPerSecond = 20;
+/// Lines about single upstreams per second: a start among thousands would take a quarter of a
+/// second on a small machine for its lines alone.
+constexpr std::uint32_t MaxUpstreamLinesPerSecond = 50;
 
 std::string hex(std::uint64_t value)
 {
@@ -62,13 +65,14 @@
     }
 
     // Returns the number of lines left out before this one, or nothing if this one is left out.
-    static std::optional<std::uint64_t> pass(Allowance &allowance, Milliseconds now)
+    static std::optional<std::uint64_t> pass(Allowance &allowance, Milliseconds now,
+                                             std::uint32_t most = MaxFlowLinesPerSecond)
     {
         if (now - allowance.second >= 1_s || allowance.second < 0_ms) {
             allowance.second = now;
             allowance.lines = 0;
         }
-        if (allowance.lines >= MaxFlowLinesPerSecond) {
+        if (allowance.lines >= most) {
             ++allowance.left;
             return std::nullopt;
         }
@@ -122,6 +126,7 @@
     Clock clock;
     std::array<Allowance, FlowReasonCount> allowances{};
     Allowance lateAllowance;
+    Allowance upstreamAllowance;
     RouteMetrics routes;
     Distribution storeCalls;
     Distribution newsAges;
@@ -162,11 +167,34 @@
     FlowControlHooks hooks;
     hooks.random = std::move(random);
     hooks.reportUpstream = [d = m_d.get()](const UpstreamRecord &record, Revision revision) {
+        const auto left =
+                Private::pass(d->upstreamAllowance, d->clock.now(), MaxUpstreamLinesPerSecond);
+        if (!left) {
+            return;
+        }
         d->log.log(LogLevel::Info, "upstreams", "An upstream changed.",
                    {{"upstream", hex(record.entry.key.id.value)},
                     {"standing", std::string(toString(record.standing))},
                     {"address", toString(record.entry.endpoint)},
                     {"born", std::to_string(record.entry.key.born.value)},
+                    {"store_revision", std::to_string(revision.value)},
+                    {"left_out", std::to_string(*left)}});
+    };
+    hooks.reportDirectory = [d = m_d.get()](StoreCall::Kind call, std::size_t upstreams,
+                                            Revision revision) {
+        const bool isList = call == StoreCall::Kind::List;
+        d->log.log(LogLevel::Info, "upstreams", "The directory is complete.",
+                   {{"source", isList ? "list" : "snapshot"},
+                    {"upstreams", std::to_string(upstreams)},
+                    {"store_revision", std::to_string(revision.value)}});
+    };
+    hooks.reportSnapshot = [d = m_d.get()](StoreOutcome outcome, const std::string &detail,
+                                           Revision revision) {
+        const bool isSaved = outcome == StoreOutcome::Done;
+        d->log.log(isSaved ? LogLevel::Info : LogLevel::Warn, "store",
+                   isSaved ? "A snapshot was saved." : "A snapshot was not saved.",
+                   {{"outcome", std::string(toString(outcome))},
+                    {"detail", detail},
                     {"store_revision", std::to_string(revision.value)}});
     };
     hooks.reportDeclaration = [d = m_d.get()](const RouteTable &table) {
--- a/tests/core/flow/flowcontroller_test.cpp
+++ b/tests/core/flow/flowcontroller_test.cpp
@@ -24,6 +24,8 @@
         hooks.reportDeclaration = [](const RouteTable &) {};
         hooks.reportMistake = [this](const std::string &, Revision) { ++mistakes; };
         hooks.reportStore = [](bool, const std::string &) {};
+        hooks.reportDirectory = [](StoreCall::Kind, std::size_t, Revision) {};
+        hooks.reportSnapshot = [](StoreOutcome, const std::string &, Revision) {};
         return hooks;
     }
 
--- a/tests/core/flow/peercontroller_test.cpp
+++ b/tests/core/flow/peercontroller_test.cpp
@@ -47,6 +47,8 @@
         hooks.reportDeclaration = [](const RouteTable &) {};
         hooks.reportMistake = [](const std::string &, Revision) {};
         hooks.reportStore = [](bool, const std::string &) {};
+        hooks.reportDirectory = [](StoreCall::Kind, std::size_t, Revision) {};
+        hooks.reportSnapshot = [](StoreOutcome, const std::string &, Revision) {};
         FlowController::Times times;
         times.reader = {Pace, Pace};
         node.controller = std::make_unique<FlowController>(times, hooks);
