--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -67,6 +67,7 @@
         }
         break;
     }
+    m_reader.setDirectorySize(m_directory.presentCount());
     m_hasNews = m_hasNews || m_pending != StoreCall::Kind::Declaration;
 }
 
@@ -188,6 +189,7 @@
             take(change, now);
         }
     }
+    m_reader.setDirectorySize(m_directory.presentCount());
 }
 
 std::optional<DirectoryNews> FlowController::takeNews(Milliseconds now)
--- a/src/core/flow/storereader.cpp
+++ b/src/core/flow/storereader.cpp
@@ -16,6 +16,8 @@
 /// two readers confirm once a pace each, so their news has failed to come several times by then.
 constexpr double FollowerPatience = 1.25;
 constexpr double PatienceSpread = 0.5;
+/// Upstreams that platforms list in one page; a snapshot would not be cheaper than that.
+constexpr std::size_t UpstreamsPerPage = 500;
 /// Age at which a snapshot is replaced: a quarter of the 20 s for which platforms keep changes, as
 /// whoever reads it needs the changes since.
 constexpr Milliseconds SnapshotInterval = 5_s;
@@ -106,6 +108,11 @@
            now >= m_snapshotDue;
 }
 
+void StoreReader::setDirectorySize(std::size_t size)
+{
+    m_isLarge = m_isLarge || size > UpstreamsPerPage;
+}
+
 void StoreReader::handleSnapshotSaved(Milliseconds now)
 {
     m_isSnapshotMissing = false;
--- a/src/core/flow/storereader.h
+++ b/src/core/flow/storereader.h
@@ -103,6 +103,8 @@
     }
     /// Asks for the declaration until @p revision or a newer one is in force.
     void wantDeclaration(Revision revision);
+    /// Tells how many upstreams have an entry.
+    void setDirectorySize(std::size_t size);
     /// Takes notice that some instance has saved a snapshot.
     void handleSnapshotSaved(Milliseconds now);
     /// Tells which declaration is in force.
@@ -141,7 +143,7 @@
     double m_patience = 1;
     bool m_isPending = false;
     Phase m_phase = Phase::Snapshot;
-    /// The directory takes more than one page to list, or did so for whoever saved a snapshot.
+    /// The directory takes more than one page to list, or did so once.
     bool m_isLarge = false;
     Milliseconds m_snapshotDue;
     /// This instance had to list: whoever starts now needs its snapshot, follower or not.
--- a/src/core/flow/upstreamdirectory.cpp
+++ b/src/core/flow/upstreamdirectory.cpp
@@ -32,6 +32,7 @@
     }
     const bool hasAddress = takeAddress(entry, revision, now);
     slot.last = entry.key;
+    m_presentCount += slot.isPresent ? 0 : 1;
     slot.isPresent = true;
 
     const auto [found, isNew] = m_records.try_emplace(entry.key);
@@ -95,6 +96,7 @@
 {
     if (slot.isPresent) {
         slot.isPresent = false;
+        --m_presentCount;
         lose(*slot.last, now);
     }
 }
@@ -201,7 +203,7 @@
 std::vector<StoreChange> UpstreamDirectory::entries(Milliseconds now) const
 {
     std::vector<StoreChange> entries;
-    entries.reserve(m_slots.size());
+    entries.reserve(m_presentCount);
     for (const auto &[id, slot] : m_slots) {
         if (slot.isPresent) {
             const UpstreamRecord &record = m_records.at(*slot.last).view;
--- a/src/core/flow/upstreamdirectory.h
+++ b/src/core/flow/upstreamdirectory.h
@@ -49,6 +49,8 @@
     std::vector<UpstreamRecord> records() const;
     /// Returns every entry that the store has, as far as known, with its remaining warm-up.
     std::vector<StoreChange> entries(Milliseconds now) const;
+    /// Number of entries().
+    std::size_t presentCount() const { return m_presentCount; }
     /// Returns the record of a start. Precondition: it is in the directory.
     const UpstreamRecord &record(UpstreamKey key) const { return m_records.at(key).view; }
     /// Returns the start that the present entry of an id names, if there is one.
@@ -99,6 +101,7 @@
     std::map<UpstreamId, Slot> m_slots;
     /// Last start at each address.
     std::unordered_map<Endpoint, Holder> m_holders;
+    std::size_t m_presentCount = 0;
     std::uint64_t m_version = 1;
     Revision m_revision;
     bool m_isComplete = false;
--- a/tests/core/flow/flowcontroller_test.cpp
+++ b/tests/core/flow/flowcontroller_test.cpp
@@ -252,6 +252,24 @@
     EXPECT_EQ(other.takeView(now)->candidates(test::Board).size(), Upstreams);
 }
 
+// Guards against a fleet without a snapshot because its upstreams registered after the balancers
+// had listed an empty store.
+TEST_F(FlowControllerTest, SavesASnapshotOfADirectoryThatHasGrown)
+{
+    findNoSnapshot();
+    reply(done(10, {declared(7, 3)}));
+    std::vector<StoreChange> items;
+    for (std::uint64_t id = 1; id <= 600; ++id) {
+        items.push_back({{100 + id}, makeEntry(id)});
+    }
+    reply(done(1000, items));
+    const Milliseconds begin = now;
+    while (await().kind != StoreCall::Kind::SaveSnapshot) {
+        controller.handleReply(done(1000), now);
+        ASSERT_LT(now - begin, 10_s);
+    }
+}
+
 // Guards against a broken snapshot that keeps instances from starting.
 TEST_F(FlowControllerTest, ListsIfTheSnapshotCannotBeRead)
 {
