--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -49,23 +49,23 @@
     if (reply.outcome != StoreOutcome::Done) {
         return;
     }
-    switch (m_pending) {
-    case StoreCall::Kind::Snapshot:
+    if (m_pending == StoreCall::Kind::Snapshot) {
         takeSnapshot(reply, now);
         return;
-    case StoreCall::Kind::List:
-        takePage(reply, now);
-        break;
-    case StoreCall::Kind::Watch:
-        if (!wasFollowing) {
-            endList(now);
-        }
-        [[fallthrough]];
-    default:
+    }
+    const bool isList = m_pending == StoreCall::Kind::List;
+    const bool isCatchUp = m_pending == StoreCall::Kind::Watch && !wasFollowing;
+    if (isList) {
+        m_listRevision = m_listRevision == Revision{} ? reply.asOf : m_listRevision;
+        takeItems(reply.changes, now);
+    }
+    if (isCatchUp || (isList && !reply.nextPage)) {
+        endList(now);
+    }
+    if (!isList) {
         for (const StoreChange &change : reply.changes) {
             take(change, now);
         }
-        break;
     }
     m_reader.setDirectorySize(m_directory.presentCount());
     m_hasNews = m_hasNews || m_pending != StoreCall::Kind::Declaration;
@@ -83,27 +83,19 @@
     }
     m_listed.clear();
     m_listRevision = reply.snapshot->to;
-    for (const StoreChange &change : reply.snapshot->changes) {
-        take(change, now);
-        if (const auto *entry = std::get_if<UpstreamEntry>(&change.content)) {
-            m_listed.push_back(entry->key.id);
-        }
-    }
+    takeItems(reply.snapshot->changes, now);
     m_reader.wantDeclaration(reply.snapshot->declaration);
 }
 
-void FlowController::takePage(const StoreReply &reply, Milliseconds now)
+// Takes items of a list or snapshot, and notes which upstreams it names.
+void FlowController::takeItems(const std::vector<StoreChange> &items, Milliseconds now)
 {
-    for (const StoreChange &change : reply.changes) {
-        take(change, now);
-        if (const auto *entry = std::get_if<UpstreamEntry>(&change.content)) {
+    for (const StoreChange &item : items) {
+        take(item, now);
+        if (const auto *entry = std::get_if<UpstreamEntry>(&item.content)) {
             m_listed.push_back(entry->key.id);
         }
     }
-    m_listRevision = m_listRevision == Revision{} ? reply.asOf : m_listRevision;
-    if (!reply.nextPage) {
-        endList(now);
-    }
 }
 
 void FlowController::endList(Milliseconds now)
--- a/src/core/flow/flowcontroller.h
+++ b/src/core/flow/flowcontroller.h
@@ -86,7 +86,7 @@
 private:
     void take(const StoreChange &change, Milliseconds now);
     void takeSnapshot(const StoreReply &reply, Milliseconds now);
-    void takePage(const StoreReply &reply, Milliseconds now);
+    void takeItems(const std::vector<StoreChange> &items, Milliseconds now);
     void endList(Milliseconds now);
     void takeDeclaration(const DeclaredRoutes &declared, Revision revision);
     void reportStoreChange(const std::string &detail, Milliseconds now);
--- a/src/core/flow/storereader.cpp
+++ b/src/core/flow/storereader.cpp
@@ -199,7 +199,6 @@
     const std::uint64_t share = FirstListers >> std::min<std::uint32_t>(m_draws, 63);
     if (share <= 1 || randomBelow(m_random, share) == 0) {
         m_phase = Phase::List;
-        m_draws = 0;
         return;
     }
     ++m_draws;
@@ -210,6 +209,7 @@
 void StoreReader::beginFollowing(Revision revision, Milliseconds now)
 {
     m_isImpatient = false;
+    m_draws = 0;
     m_after = revision;
     if (!isFollowing()) {
         m_phase = Phase::Following;
