Test the log's bound and a stopped reader on the running program

3,000 openings in a burst: at most 20 lines a second and reason, and lines and left_out together are what the counter says. With a full pipe that nobody reads as its output, the forwarder places flows and serves metrics.

--- a/tests/processes/forwarder_test.cpp
+++ b/tests/processes/forwarder_test.cpp
@@ -7,12 +7,14 @@
 #include <asio/read.hpp>
 #include <chrono>
 #include <csignal>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
 #include <poll.h>
 #include <regex>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <thread>
 #include <unistd.h>
 
@@ -352,6 +354,64 @@
     EXPECT_FALSE(open(4003).empty()) << output();
 }
 
+// Guards against a log that grows with the load, and against lines that are missing uncounted.
+TEST_F(ForwarderStory, BoundsItsLogUnderLoad)
+{
+    constexpr int Openings = 3000;
+    constexpr int LinesPerSecond = 20;
+    ASSERT_FALSE(open(4001).empty()) << output();
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < Openings; ++i) {
+        m_client.send(packet(FlagOpening, static_cast<std::uint16_t>(10000 + i), 443, 0), m_listen);
+        // Keeps the upstream's and the forwarder's socket from overflowing.
+        if (i % 20 == 0) {
+            while (!m_upstream.receive(1).empty()) {
+            }
+        }
+    }
+    // The first line of the next second tells how many were left out.
+    std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+    m_client.send(packet(FlagOpening, 9999, 443, 0), m_listen);
+    ASSERT_TRUE(awaitOutput("client=127.0.0.1:9999 ")) << output();
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(
+            std::chrono::steady_clock::now() - begin);
+    const std::string text = output();
+    const std::regex line("reason=placed .* left_out=([0-9]+)");
+    int lines = 0;
+    int leftOut = 0;
+    for (std::sregex_iterator it(text.begin(), text.end(), line); it != std::sregex_iterator();
+         ++it) {
+        ++lines;
+        leftOut += std::stoi((*it)[1]);
+    }
+    EXPECT_LE(lines, LinesPerSecond * (static_cast<int>(seconds.count()) + 2));
+    EXPECT_EQ(awaitMetric("damaskhall_flow_packets_total{reason=\"placed\"} " +
+                          std::to_string(lines + leftOut)),
+              "");
+}
+
+// Guards against traffic that waits for whoever reads the log.
+TEST_F(ForwarderStory, ForwardsWhileNobodyReadsItsLog)
+{
+    m_forwarder->kill();
+    const std::string pipe = m_folder + "/output.pipe";
+    ASSERT_EQ(mkfifo(pipe.c_str(), 0600), 0);
+    const int reader = ::open(pipe.c_str(), O_RDWR | O_NONBLOCK);
+    ASSERT_GE(reader, 0);
+    const std::string block(4096, '.');
+    while (write(reader, block.data(), block.size()) > 0) {
+    }
+    m_forwarder = std::make_unique<Process>(
+            "damaskhall-forwarder",
+            std::vector<std::string>{"--settings", m_folder + "/forwarder.ini"}, pipe);
+    EXPECT_FALSE(open(4001).empty());
+    for (std::uint16_t port = 4002; port < 4052; ++port) {
+        EXPECT_FALSE(open(port).empty()) << port;
+    }
+    EXPECT_NE(metrics().find("damaskhall_flow_packets_total"), std::string::npos);
+    close(reader);
+}
+
 // The three ways of docs/OPERATIONS.md from a complaint to its cause, on the real program: what the
 // engineer has is the client's address and port, the log and the metrics.
 class ComplaintStory : public ForwarderStory
