--- a/src/core/flow/placement.cpp
+++ b/src/core/flow/placement.cpp
@@ -23,8 +23,8 @@
 constexpr Milliseconds SampleLifetime = 3_s;
 /// Work per slot that an upstream of another data centre must have less than one of the own.
 constexpr double RemotePenalty = 2.0;
-/// Upstreams of the own data centre, and of all, that a new flow is weighed for: the cheapest of
-/// this many is within the noise of the cheapest of all, and a choice costs the same in any fleet.
+/// Upstreams of the own data centre, and of all, that a new flow is weighed for in a large fleet,
+/// so that a choice costs the same in any. Enough that an idle one is in the sample at usual loads.
 constexpr std::size_t OwnSample = 40;
 constexpr std::size_t RemoteSample = 16;
 /// Share of the cost that is random, so that balancers with the same view choose differently.
--- a/src/forwarder/forwarderlog.cpp
+++ b/src/forwarder/forwarderlog.cpp
@@ -13,8 +13,8 @@
 
 /// Lines about single flows per second and reason; the counters stay complete.
 constexpr std::uint32_t MaxFlowLinesPerSecond = 20;
-/// Lines about single upstreams per second: a start among thousands would take a quarter of a
-/// second on a small machine for its lines alone.
+/// Lines about single upstreams per second: a start among thousands would write one for each before
+/// it forwards a packet.
 constexpr std::uint32_t MaxUpstreamLinesPerSecond = 50;
 
 std::string hex(std::uint64_t value)
--- a/src/forwarder/routemetrics.cpp
+++ b/src/forwarder/routemetrics.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// Routes with figures of their own: more than operators read, and under 200 KB.
+/// Routes with figures of their own: more than operators read; the bound keeps the memory small.
 constexpr std::size_t MaxRoutes = 32;
 
 struct Figures
