Remove state of the flow core that is derived, unread or kept twice

Cause: read over the whole change. FlowController kept the kind of the call under way and the revision of its list, which StoreReader holds; it told the directory's size from two places. A sign of an upstream reset the count of failed attempts, which the start of the next row of attempts does. The status server repeated the admin server's RESTinio traits. Nobody read FlowPacket's acknowledgment flag, the directory's highest revision, the router's view() and ledger(), two time parameters, and the emulator's imbalance, sheds, crossings and listing flag. Ruled out: one reader for both kinds of settings (their keys differ in kind, a section's and a file's), and one limiter for lines (LogLimiter looks up a name under a lock; the traffic path has a fixed slot a reason). Change: the controller asks the reader; src/io/httpserver.h holds the traits. No behaviour changes, tests keep their assertions; one call in a test lost a parameter that was not used.

--- a/fakes/flowfleet.cpp
+++ b/fakes/flowfleet.cpp
@@ -51,10 +51,8 @@
         Milliseconds coldUntil;
         double coldFactor = 1;
         bool isSilent = false;
-        bool isListed = true;
         int busy = 0;
         std::deque<std::uint64_t> queue;
-        int arrivals = 0;
     };
 
     struct Balancer
@@ -187,9 +185,7 @@
     {
         std::vector<UpstreamRecord> records;
         for (const Upstream &upstream : upstreams) {
-            if (upstream.isListed) {
-                records.push_back(upstream.record);
-            }
+            records.push_back(upstream.record);
         }
         return std::make_shared<const FlowView>(routes, std::move(records), true);
     }
@@ -363,7 +359,6 @@
             return;
         }
         FlowPacket packet = flow->packet;
-        packet.hasAcknowledgment = true;
         packet.sequence = sequence;
         packet.length = RequestBytes;
         sendPacket(*flow, packet);
@@ -413,7 +408,6 @@
         }
         const std::size_t index = decision.endpoint.address - 1;
         const bool isCross = upstreams[index].dataCentre != balancer.dataCentre;
-        crossed += isCross && packet.isOpening ? 1 : 0;
         FlowPacket forwarded = packet;
         forwarded.cookie = decision.cookie;
         const Milliseconds delay = options.delay + (isCross ? options.crossDelay : 0_ms);
@@ -441,7 +435,6 @@
             !accepted.insert({flow.get(), packet.sequence}).second) {
             return;
         }
-        ++upstream.arrivals;
         const std::uint64_t job = jobs.size();
         jobs.push_back({flow, packet.sequence});
         if (upstream.busy < options.slots) {
@@ -449,7 +442,6 @@
         } else if (static_cast<int>(upstream.queue.size()) < options.queue) {
             upstream.queue.push_back(job);
         } else {
-            ++sheds[events.now().value];
             answer(job, Answer::NotRun);
         }
     }
@@ -466,7 +458,6 @@
         flow->packet.sequence = 1001;
         flow->packet.acknowledgment = 5000;
         FlowPacket acknowledged = flow->packet;
-        acknowledged.hasAcknowledgment = true;
         sendPacket(*flow, acknowledged);
         if (!flow->request->isSettled) {
             sendRequest(flow);
@@ -513,7 +504,6 @@
             flow->packet.sequence = sequence + RequestBytes;
             flow->packet.acknowledgment += AnswerBytes;
             FlowPacket acknowledged = flow->packet;
-            acknowledged.hasAcknowledgment = true;
             const bool isLong = options.loads[flow->load].isLong;
             acknowledged.isClosing = !isLong;
             sendPacket(*flow, acknowledged);
@@ -548,9 +538,7 @@
     std::map<const Request *, Milliseconds> answeredAt;
     std::set<std::pair<const ClientFlow *, std::uint32_t>> accepted;
     std::vector<std::pair<std::shared_ptr<ClientFlow>, std::uint32_t>> jobs;
-    std::map<std::int64_t, int> sheds;
     std::uint64_t nextUser = 1;
-    int crossed = 0;
 };
 
 FlowFleet::FlowFleet(const FlowFleetOptions &options)
@@ -668,24 +656,7 @@
             ++outcome.late;
         }
     }
-    for (const auto &[at, count] : m_d->sheds) {
-        outcome.sheds += at >= from.value && at < until.value ? count : 0;
-    }
-    outcome.crossed = m_d->crossed;
     return outcome;
 }
 
-double FlowFleet::imbalance() const
-{
-    int most = 0;
-    int sum = 0;
-    int count = 0;
-    for (const auto &upstream : m_d->upstreams) {
-        most = std::max(most, upstream.arrivals);
-        sum += upstream.arrivals;
-        ++count;
-    }
-    return sum == 0 ? 1.0 : static_cast<double>(most) * count / sum;
-}
-
 } // namespace damaskhall::fakes
--- a/fakes/flowfleet.h
+++ b/fakes/flowfleet.h
@@ -56,9 +56,6 @@
     int inTime = 0;
     int late = 0;
     int failed = 0;
-    int sheds = 0;
-    /// Opening packets that another data centre received.
-    int crossed = 0;
 
     double shareInTime() const { return asked == 0 ? 1.0 : static_cast<double>(inTime) / asked; }
 };
@@ -97,9 +94,6 @@
 
     /// Returns the requests asked in [from, until), by the name of their load; "" adds all.
     FlowOutcome outcome(const std::string &load, Milliseconds from, Milliseconds until) const;
-    /// Returns the highest number of requests at one upstream divided by the mean, over the
-    /// upstreams that were present all the time.
-    double imbalance() const;
 
 private:
     struct Private;
--- a/src/admin/adminserver.cpp
+++ b/src/admin/adminserver.cpp
@@ -1,22 +1,15 @@
 #include "admin/adminserver.h"
 
+#include "io/httpserver.h"
+
 #include <future>
-#include <restinio/all.hpp>
 #include <thread>
 
 namespace damaskhall {
 
 namespace {
 
-struct ServerTraits : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>
-{
-    // RESTinio looks for this name.
-    // NOLINTNEXTLINE(readability-identifier-naming)
-    static constexpr bool use_connection_count_limiter = true;
-};
-
 using Request = restinio::request_handle_t;
-using Server = restinio::http_server_t<ServerTraits>;
 
 constexpr std::size_t MaxConnections = 64;
 /// Above the largest value of the platform.
@@ -77,9 +70,9 @@
         return restinio::request_accepted();
     }
 
-    std::unique_ptr<Server> makeServer(Endpoint listen)
+    std::unique_ptr<HttpServer> makeServer(Endpoint listen)
     {
-        return std::make_unique<Server>(
+        return std::make_unique<HttpServer>(
                 restinio::external_io_context(context), [&](auto &settings) {
                     settings.address(asio::ip::address_v4(listen.address))
                             .port(listen.port)
@@ -101,7 +94,7 @@
             asio::make_work_guard(context);
     asio::executor_work_guard<asio::io_context::executor_type> workGuard =
             asio::make_work_guard(workContext);
-    std::unique_ptr<Server> server;
+    std::unique_ptr<HttpServer> server;
     std::thread thread;
     std::thread worker;
 };
--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -15,10 +15,10 @@
 
 std::optional<StoreCall> FlowController::nextCall(Milliseconds now)
 {
+    m_reader.setDirectorySize(m_directory.presentCount());
     auto call = m_reader.next(now);
     if (call && call->kind == StoreCall::Kind::List && call->pageAfter.empty()) {
         m_listed.clear();
-        m_listRevision = {};
     }
     if (call && call->kind == StoreCall::Kind::SaveSnapshot) {
         auto snapshot = std::make_shared<DirectoryNews>();
@@ -27,48 +27,48 @@
         snapshot->changes = m_directory.entries(now);
         call->snapshot = std::move(snapshot);
     }
-    if (call) {
-        m_pending = call->kind;
-    }
     return call;
 }
 
 void FlowController::handleReply(const StoreReply &reply, Milliseconds now)
 {
+    const StoreCall::Kind kind = m_reader.lastCall();
     const bool wasFollowing = m_reader.isFollowing();
+    const Revision known = m_reader.revision();
     Revision asOf = reply.asOf;
-    if (m_pending == StoreCall::Kind::Snapshot) {
+    if (kind == StoreCall::Kind::Snapshot) {
         asOf = reply.snapshot ? reply.snapshot->to : Revision{};
     }
     m_reader.handleEnd(reply.outcome, asOf, reply.nextPage, now);
     reportStoreChange(reply.detail, now);
-    if (m_pending == StoreCall::Kind::SaveSnapshot) {
+    if (kind == StoreCall::Kind::SaveSnapshot) {
         m_hooks.reportSnapshot(reply.outcome, reply.detail, m_reader.revision());
         return;
     }
     if (reply.outcome != StoreOutcome::Done) {
         return;
     }
-    if (m_pending == StoreCall::Kind::Snapshot) {
+    if (kind == StoreCall::Kind::Snapshot) {
         takeSnapshot(reply, now);
         return;
     }
-    const bool isList = m_pending == StoreCall::Kind::List;
-    const bool isCatchUp = m_pending == StoreCall::Kind::Watch && !wasFollowing;
+    const bool isList = kind == StoreCall::Kind::List;
+    const bool isCatchUp = kind == StoreCall::Kind::Watch && !wasFollowing;
+    if (isCatchUp) {
+        // Until now the reader's revision was that of the snapshot.
+        endList(kind, known, now);
+    }
     if (isList) {
-        m_listRevision = m_listRevision == Revision{} ? reply.asOf : m_listRevision;
         takeItems(reply.changes, now);
-    }
-    if (isCatchUp || (isList && !reply.nextPage)) {
-        endList(now);
-    }
-    if (!isList) {
+        if (!reply.nextPage) {
+            endList(kind, m_reader.revision(), now);
+        }
+    } else {
         for (const StoreChange &change : reply.changes) {
             take(change, now);
         }
     }
-    m_reader.setDirectorySize(m_directory.presentCount());
-    m_hasNews = m_hasNews || m_pending != StoreCall::Kind::Declaration;
+    m_hasNews = m_hasNews || kind != StoreCall::Kind::Declaration;
 }
 
 // Nothing is complete before the changes since the snapshot are known: an upstream that is leaving
@@ -82,7 +82,6 @@
         return;
     }
     m_listed.clear();
-    m_listRevision = reply.snapshot->to;
     takeItems(reply.snapshot->changes, now);
     m_reader.wantDeclaration(reply.snapshot->declaration);
 }
@@ -98,13 +97,13 @@
     }
 }
 
-void FlowController::endList(Milliseconds now)
+void FlowController::endList(StoreCall::Kind kind, Revision revision, Milliseconds now)
 {
-    m_hooks.reportDirectory(m_pending, m_listed.size(), m_listRevision);
-    m_directory.handleListEnd(std::exchange(m_listed, {}), m_listRevision, now);
+    m_hooks.reportDirectory(kind, m_listed.size(), revision);
+    m_directory.handleListEnd(std::exchange(m_listed, {}), revision, now);
     // What a list removed is not known change by change.
     m_recent.clear();
-    m_recentFrom = m_listRevision;
+    m_recentFrom = revision;
 }
 
 void FlowController::take(const StoreChange &change, Milliseconds now)
@@ -181,7 +180,6 @@
             take(change, now);
         }
     }
-    m_reader.setDirectorySize(m_directory.presentCount());
 }
 
 std::optional<DirectoryNews> FlowController::takeNews(Milliseconds now)
@@ -206,7 +204,7 @@
     }
     m_wasAway = isAway;
     if (isAway) {
-        m_directory.handleStoreLost(now);
+        m_directory.handleStoreLost();
     } else {
         m_directory.handleStoreRegained(now);
     }
--- a/src/core/flow/flowcontroller.h
+++ b/src/core/flow/flowcontroller.h
@@ -87,7 +87,8 @@
     void take(const StoreChange &change, Milliseconds now);
     void takeSnapshot(const StoreReply &reply, Milliseconds now);
     void takeItems(const std::vector<StoreChange> &items, Milliseconds now);
-    void endList(Milliseconds now);
+    /// @p kind: the call whose answer completes the directory; @p revision: of its items.
+    void endList(StoreCall::Kind kind, Revision revision, Milliseconds now);
     void takeDeclaration(const DeclaredRoutes &declared, Revision revision);
     void reportStoreChange(const std::string &detail, Milliseconds now);
     bool isCurrent(Milliseconds now) const;
@@ -100,8 +101,6 @@
     std::shared_ptr<const RouteTable> m_routes;
     /// Ids seen on the pages of the list under way, or in the snapshot.
     std::vector<UpstreamId> m_listed;
-    Revision m_listRevision;
-    StoreCall::Kind m_pending = StoreCall::Kind::List;
     bool m_wasAway = false;
     bool m_isChanged = false;
     bool m_wasCurrent = false;
--- a/src/core/flow/flowpacket.h
+++ b/src/core/flow/flowpacket.h
@@ -30,7 +30,6 @@
     bool isOpening = false;
     bool isClosing = false;
     bool isReset = false;
-    bool hasAcknowledgment = false;
     std::uint32_t sequence = 0;
     /// Sequence number up to which the client has received the answer. Not set in opening packets.
     std::uint32_t acknowledgment = 0;
--- a/src/core/flow/flowrouter.cpp
+++ b/src/core/flow/flowrouter.cpp
@@ -362,7 +362,7 @@
         return;
     }
     m_nextTick = now + TickInterval;
-    m_ledger.tick(now);
+    m_ledger.tick();
     FlowTable::Times times;
     if (m_view->isUsable() && m_view->routes().idleTimeout > 0_ms) {
         times.idle = m_view->routes().idleTimeout;
--- a/src/core/flow/flowrouter.h
+++ b/src/core/flow/flowrouter.h
@@ -46,8 +46,6 @@
     /// Forgets ended flows and smooths averages; call about every 100 ms.
     void tick(Milliseconds now);
 
-    const FlowView &view() const { return *m_view; }
-    const UpstreamLedger &ledger() const { return m_ledger; }
     std::size_t flowCount() const { return m_flows.size(); }
 
 private:
--- a/src/core/flow/storereader.h
+++ b/src/core/flow/storereader.h
@@ -111,6 +111,8 @@
     void setDeclaration(Revision revision) { m_declaration = revision; }
     /// Revision up to which all changes are known.
     Revision revision() const { return m_after; }
+    /// Kind of the call under way, or of the last one.
+    StoreCall::Kind lastCall() const { return m_kind; }
     /// True while the store does not answer.
     bool isAway() const { return m_failures > 0; }
     /// Time of the last answer that was not a failure.
--- a/src/core/flow/upstreamdirectory.cpp
+++ b/src/core/flow/upstreamdirectory.cpp
@@ -16,7 +16,6 @@
         return false;
     }
     slot.revision = revision;
-    m_revision = std::max(m_revision, revision);
     return true;
 }
 
@@ -112,7 +111,6 @@
             removeEntry(slot, now);
         }
     }
-    m_revision = std::max(m_revision, revision);
     if (!m_isComplete) {
         m_isComplete = true;
         ++m_version;
@@ -145,7 +143,7 @@
     return m_isStoreAway || (m_regainedAt && now - *m_regainedAt < m_times.confirmation);
 }
 
-void UpstreamDirectory::handleStoreLost(Milliseconds)
+void UpstreamDirectory::handleStoreLost()
 {
     m_isStoreAway = true;
 }
--- a/src/core/flow/upstreamdirectory.h
+++ b/src/core/flow/upstreamdirectory.h
@@ -39,7 +39,7 @@
     void handleListEnd(std::vector<UpstreamId> listed, Revision revision, Milliseconds now);
 
     /// The store does not answer any more: entries that lapse from now on are not believed gone.
-    void handleStoreLost(Milliseconds now);
+    void handleStoreLost();
     void handleStoreRegained(Milliseconds now);
 
     /// Ends confirmation times and forgets old records.
@@ -59,8 +59,6 @@
     std::uint64_t version() const { return m_version; }
     /// True once a complete list was taken.
     bool isComplete() const { return m_isComplete; }
-    /// Highest revision of a report.
-    Revision revision() const { return m_revision; }
 
 private:
     struct Record
@@ -103,7 +101,6 @@
     std::unordered_map<Endpoint, Holder> m_holders;
     std::size_t m_presentCount = 0;
     std::uint64_t m_version = 1;
-    Revision m_revision;
     bool m_isComplete = false;
     bool m_isStoreAway = false;
     std::optional<Milliseconds> m_regainedAt;
--- a/src/core/flow/upstreamledger.cpp
+++ b/src/core/flow/upstreamledger.cpp
@@ -85,7 +85,6 @@
     UpstreamAccount &account = at(id);
     account.lastSign = now;
     m_lastSign = now;
-    account.failedProbes = 0;
     account.silentSince.reset();
     account.unreachableAt.reset();
     account.failedTries = 0;
@@ -115,7 +114,7 @@
     return found == m_meanAnswerTimes.end() ? 0 : found->second;
 }
 
-void UpstreamLedger::tick(Milliseconds)
+void UpstreamLedger::tick()
 {
     std::uint32_t open = 0;
     std::uint32_t busy = 0;
--- a/src/core/flow/upstreamledger.h
+++ b/src/core/flow/upstreamledger.h
@@ -74,7 +74,7 @@
     void noteAnswer(AccountId id, Milliseconds duration, Milliseconds now);
 
     /// Smooths the fleet's averages; call at regular times.
-    void tick(Milliseconds now);
+    void tick();
 
     /// Mean part of a slot that an open flow keeps busy.
     double busyPerFlow() const { return m_busyPerFlow; }
--- a/src/io/statusserver.cpp
+++ b/src/io/statusserver.cpp
@@ -1,20 +1,12 @@
 #include "io/statusserver.h"
 
-#include <restinio/all.hpp>
+#include "io/httpserver.h"
 
 namespace damaskhall {
 
 namespace {
 
-struct ServerTraits : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>
-{
-    // RESTinio looks for this name.
-    // NOLINTNEXTLINE(readability-identifier-naming)
-    static constexpr bool use_connection_count_limiter = true;
-};
-
 using Request = restinio::request_handle_t;
-using Server = restinio::http_server_t<ServerTraits>;
 
 /// Checks of a fabric and some readers of metrics.
 constexpr std::size_t MaxConnections = 32;
@@ -58,7 +50,7 @@
 
     asio::io_context &context;
     StatusHooks hooks;
-    std::unique_ptr<Server> server;
+    std::unique_ptr<HttpServer> server;
 };
 
 StatusServer::StatusServer(asio::io_context &context, StatusHooks hooks)
@@ -75,7 +67,7 @@
 
 Result<void> StatusServer::open(Endpoint listen)
 {
-    m_d->server = std::make_unique<Server>(
+    m_d->server = std::make_unique<HttpServer>(
             restinio::external_io_context(m_d->context), [&](auto &settings) {
                 settings.address(asio::ip::address_v4(listen.address))
                         .port(listen.port)
--- a/tests/core/flow/upstreamdirectory_test.cpp
+++ b/tests/core/flow/upstreamdirectory_test.cpp
@@ -62,7 +62,7 @@
     const UpstreamEntry left = leaving(makeEntry(2));
     directory.handleEntry(first, {5}, now);
     directory.handleEntry(left, {6}, now);
-    directory.handleStoreLost(now);
+    directory.handleStoreLost();
     now += 5_s;
     directory.handleStoreRegained(now);
     directory.handleRemoval(first.key.id, {7}, now);
--- a/tests/support/flowfixture.h
+++ b/tests/support/flowfixture.h
@@ -55,7 +55,6 @@
 {
     FlowPacket packet;
     packet.key = {{0x64400001, port}, BoardRoute};
-    packet.hasAcknowledgment = true;
     packet.sequence = sequence;
     packet.acknowledgment = acknowledgment;
     packet.length = length;
