--- /dev/null
+++ b/src/core/flow/changelog.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/flow/directoryupdate.h"
+
+#include <deque>
+#include <vector>
+
+namespace damaskhall {
+
+/// The most recent changes of the upstream directory in the order of their revisions, from which
+/// instances that lack some of them catch up. Bounded: the oldest changes are dropped.
+/// Deterministic. Thread safety: none.
+class ChangeLog
+{
+public:
+    /// Adds a change of an upstream. Its revision may be lower than that of the last one added, but
+    /// not than start().
+    void record(const StoreChange &change);
+    /// Drops all changes. From now on, the log contains all changes after @p revision.
+    void restart(Revision revision);
+
+    /// The log contains all changes after this revision.
+    Revision start() const { return m_start; }
+    /// Returns the changes after @p known and up to @p to as consecutive updates that each fit into
+    /// a datagram; a single update without changes if there are none. Only the fields from, to and
+    /// changes are set. Precondition: start() <= @p known <= @p to.
+    std::vector<DirectoryUpdate> updatesSince(Revision known, Revision to) const;
+    /// Returns the changes up to @p to that fit into one datagram, newest first kept. Only the
+    /// fields from, to and changes are set. Precondition: start() <= @p to.
+    DirectoryUpdate latest(Revision to) const;
+
+private:
+    std::deque<StoreChange> m_changes;
+    Revision m_start;
+};
+
+} // namespace damaskhall
--- a/src/core/flow/directoryupdate.h
+++ b/src/core/flow/directoryupdate.h
@@ -17,8 +17,10 @@
     /// Instance that read the store; the root of the distribution tree.
     InstanceId origin;
     /// Incremented by the origin with each update. A restarted origin begins at its start time.
+    /// Zero: sent to one member that asked for it, and not relayed.
     std::uint64_t sequence = 0;
-    /// Time since the store's response.
+    /// Time since the store's last response. If it is longer than a watch interval, the origin is
+    /// trying to read the store without success.
     Milliseconds age;
     /// The update contains all changes of upstreams after this revision of the store ...
     Revision from;
--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -5,6 +5,16 @@
 
 namespace damaskhall {
 
+namespace {
+
+/// Number of removals implied by a list that fit into a datagram together, as they share a
+/// revision.
+constexpr std::size_t MaxImpliedRemovals = 40;
+/// Share of a link that the answer to one request for changes may take: some 40 KB.
+constexpr std::size_t MaxAnswerUpdates = 40;
+
+} // namespace
+
 FlowController::FlowController(Times times, FlowControllerHooks hooks)
     : m_times(times)
     , m_hooks(std::move(hooks))
@@ -68,7 +78,9 @@
             applyChange(change, now);
         }
     }
-    m_hasPendingUpdate = m_hasPendingUpdate || kind != StoreCall::Kind::Declaration;
+    handleKnownRevision();
+    m_hasPendingUpdate = m_hasPendingUpdate ||
+                         (kind != StoreCall::Kind::Declaration && m_reader.isResultForPeers());
 }
 
 // The directory is not complete until the changes since the snapshot are known; otherwise an
@@ -100,10 +112,20 @@
 void FlowController::completeDirectory(StoreCall::Kind kind, Revision revision, Milliseconds now)
 {
     m_hooks.reportDirectory(kind, m_listedIds.size(), revision);
-    m_directory.handleCompleteList(std::exchange(m_listedIds, {}), revision, now);
-    // Removals that a list implies are not available as single changes.
-    m_recentChanges.clear();
-    m_recentChangesFrom = revision;
+    const bool wasComplete = m_directory.isComplete();
+    const std::vector<UpstreamId> removed =
+            m_directory.handleCompleteList(std::exchange(m_listedIds, {}), revision, now);
+    // Peers need the difference to what was known before the list, which is small, and not the
+    // list.
+    const bool isDifferenceKnown =
+            wasComplete && kind == StoreCall::Kind::List && removed.size() <= MaxImpliedRemovals;
+    if (!isDifferenceKnown) {
+        m_changeLog.restart(revision);
+        return;
+    }
+    for (const UpstreamId id : removed) {
+        m_changeLog.record({revision, UpstreamRemoval{id, {}}});
+    }
 }
 
 void FlowController::applyChange(const StoreChange &change, Milliseconds now)
@@ -112,8 +134,8 @@
     if (const auto *entry = std::get_if<UpstreamEntry>(&change.content)) {
         m_directory.handleEntry(*entry, change.revision, now);
         if (m_directory.version() != version) {
-            recordRecentChange(change);
-            m_hooks.reportUpstream(m_directory.record(entry->key), change.revision);
+            m_changeLog.record(change);
+            reportUpstream(entry->key, change.revision);
         }
         return;
     }
@@ -124,8 +146,8 @@
         const auto key = m_directory.present(removal->id);
         m_directory.handleRemoval(removal->id, change.revision, now);
         if (key && m_directory.version() != version) {
-            recordRecentChange(change);
-            m_hooks.reportUpstream(m_directory.record(*key), change.revision);
+            m_changeLog.record(change);
+            reportUpstream(*key, change.revision);
         }
         return;
     }
@@ -136,6 +158,14 @@
     applyDeclaration(std::get<DeclaredRoutes>(change.content), change.revision);
 }
 
+// The first list is reported as a whole, by reportDirectory.
+void FlowController::reportUpstream(UpstreamKey key, Revision revision)
+{
+    if (m_directory.isComplete()) {
+        m_hooks.reportUpstream(m_directory.record(key), revision);
+    }
+}
+
 // A declaration is applied as a whole, and only if it is newer than the one in force.
 void FlowController::applyDeclaration(const DeclaredRoutes &declared, Revision revision)
 {
@@ -152,49 +182,102 @@
     m_hooks.reportDeclaration(*m_routes);
 }
 
-void FlowController::recordRecentChange(const StoreChange &change)
+void FlowController::setReader(bool isReader, std::size_t peerCount)
 {
-    m_recentChanges.push_back(change);
-    if (m_recentChanges.size() > MaxDirectoryUpdateChanges) {
-        m_recentChangesFrom = std::max(m_recentChangesFrom, m_recentChanges.front().revision);
-        m_recentChanges.pop_front();
-    }
+    m_reader.setFollower(!isReader);
+    m_reader.setPeerCount(peerCount);
+}
+
+void FlowController::handleKnownRevision()
+{
+    m_gap.handleKnown(m_reader.revision());
 }
 
-void FlowController::handleDirectoryUpdate(const DirectoryUpdate &update, Milliseconds now)
+void FlowController::handleDirectoryUpdate(const DirectoryUpdate &update, Endpoint sender,
+                                           Milliseconds now)
 {
     m_reader.requestDeclaration(update.declaration);
     if (!m_reader.isFollowing() || update.to < m_reader.revision()) {
         return;
     }
     if (m_reader.revision() < update.from) {
-        m_reader.requestRead(now);
+        const auto maxDelay =
+                static_cast<std::uint64_t>(m_times.reader.confirmationInterval.value / 2) + 1;
+        const Milliseconds readDelay{
+                static_cast<std::int64_t>(randomBelow(m_hooks.random, maxDelay))};
+        m_gap.open(update.to, sender, readDelay, now);
         return;
     }
     // Changes up to the known revision are already applied, and newer ones may have superseded
     // them.
     const Revision known = m_reader.revision();
-    m_reader.handleDirectoryUpdate(update.to, now - update.age);
+    m_reader.handleDirectoryUpdate(update.to, now - update.age, now);
+    m_distributed = std::max(m_distributed, update.to);
     reportStoreReachability("update from a peer", now);
     for (const StoreChange &change : update.changes) {
         if (change.revision > known) {
             applyChange(change, now);
         }
     }
+    handleKnownRevision();
 }
 
-std::optional<DirectoryUpdate> FlowController::takeDirectoryUpdate(Milliseconds now)
+std::optional<SendChangesRequest> FlowController::takeChangesRequest(Milliseconds now)
 {
-    if (!std::exchange(m_hasPendingUpdate, false) || !m_reader.isFollowing()) {
+    switch (m_gap.next(now)) {
+    case GapRecovery::Step::Wait:
         return std::nullopt;
+    case GapRecovery::Step::ReadStore:
+        m_reader.requestRead(StoreCall::Reason::ChangesMissing, now);
+        return std::nullopt;
+    case GapRecovery::Step::AskSender:
+        return SendChangesRequest{m_gap.sender(), {m_reader.revision()}};
+    case GapRecovery::Step::AskAnyMember:
+        break;
     }
-    DirectoryUpdate update;
+    return SendChangesRequest{std::nullopt, {m_reader.revision()}};
+}
+
+std::vector<DirectoryUpdate> FlowController::answerChangesRequest(const ChangesRequest &request,
+                                                                  Milliseconds now) const
+{
+    const Revision known = m_reader.revision();
+    if (!m_reader.isFollowing() || request.known < m_changeLog.start() || request.known > known) {
+        return {};
+    }
+    std::vector<DirectoryUpdate> updates = m_changeLog.updatesSince(request.known, known);
+    updates.resize(std::min(updates.size(), MaxAnswerUpdates));
+    for (DirectoryUpdate &update : updates) {
+        fillHead(update, now);
+    }
+    return updates;
+}
+
+void FlowController::fillHead(DirectoryUpdate &update, Milliseconds now) const
+{
     update.age = now - m_reader.confirmedAt().value_or(now);
-    update.from = m_recentChangesFrom;
-    update.to = m_reader.revision();
     update.declaration = revision();
-    update.changes.assign(m_recentChanges.begin(), m_recentChanges.end());
-    return update;
+}
+
+std::vector<DirectoryUpdate> FlowController::takeDirectoryUpdates(Milliseconds now)
+{
+    const bool isOutage = m_reader.takeOutageNotice(now);
+    if ((!std::exchange(m_hasPendingUpdate, false) && !isOutage) || !m_reader.isFollowing()) {
+        return {};
+    }
+    const Revision known = m_reader.revision();
+    std::vector<DirectoryUpdate> updates = {m_changeLog.latest(known)};
+    // The latest changes are repeated, so that a lost datagram costs nothing. If they do not reach
+    // back to what the peers know, all changes since are sent.
+    const Revision distributed = std::max(m_distributed, m_changeLog.start());
+    if (updates.front().from > distributed) {
+        updates = m_changeLog.updatesSince(distributed, known);
+    }
+    m_distributed = known;
+    for (DirectoryUpdate &update : updates) {
+        fillHead(update, now);
+    }
+    return updates;
 }
 
 void FlowController::reportStoreReachability(const std::string &detail, Milliseconds now)
--- a/src/core/flow/flowcontroller.h
+++ b/src/core/flow/flowcontroller.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "core/flow/directoryupdate.h"
+#include "core/flow/changelog.h"
 #include "core/flow/flowview.h"
+#include "core/flow/gaprecovery.h"
 #include "core/flow/storereader.h"
 #include "core/flow/upstreamdirectory.h"
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -24,6 +24,8 @@
     std::optional<DirectoryUpdate> snapshot;
     /// Key after which the next page begins, if there is one.
     std::optional<std::string> nextPage;
+    /// Size of the response's body in bytes.
+    std::size_t bodyBytes = 0;
     /// Error text for the log. For a snapshot that cannot be decoded the outcome is Done and the
     /// detail is set.
     std::string detail;
@@ -66,15 +68,22 @@
     std::optional<StoreCall> nextCall(Milliseconds now);
     /// Processes the result of the call that nextCall() returned.
     void handleReply(const StoreReply &reply, Milliseconds now);
-    /// Applies an update that a peer has read. Schedules a read if changes are missing between the
-    /// known revision and the update.
-    void handleDirectoryUpdate(const DirectoryUpdate &update, Milliseconds now);
+    /// Applies an update that a peer has read. If changes are missing between the known revision
+    /// and the update, takeChangesRequest() asks @p sender and other peers for them, and the store
+    /// last.
+    void handleDirectoryUpdate(const DirectoryUpdate &update, Endpoint sender, Milliseconds now);
+    /// Returns the request for missing changes that is due, or nothing; call about every 100 ms.
+    std::optional<SendChangesRequest> takeChangesRequest(Milliseconds now);
+    /// Returns the changes that a peer lacks, in sequence; empty if they are not known any more.
+    std::vector<DirectoryUpdate> answerChangesRequest(const ChangesRequest &request,
+                                                      Milliseconds now) const;
     /// Sets whether this instance reads the store on behalf of its peers. An instance that does not
-    /// only reads when updates fail to arrive.
-    void setReader(bool isReader) { m_reader.setFollower(!isReader); }
-    /// Returns the update for the peers if the last store call changed or confirmed the directory;
-    /// empty until the next such call.
-    std::optional<DirectoryUpdate> takeDirectoryUpdate(Milliseconds now);
+    /// only reads when updates fail to arrive. @p peerCount: other members that are not dead.
+    void setReader(bool isReader, std::size_t peerCount);
+    /// Returns the updates for the peers, to be distributed in sequence: if the last store call
+    /// changed or confirmed the directory, or if this instance reads for its peers and the store
+    /// does not answer. Empty until the next such event. Call about every 100 ms.
+    std::vector<DirectoryUpdate> takeDirectoryUpdates(Milliseconds now);
     /// Ends expired confirmation periods and removes old records; call about every 100 ms.
     void tick(Milliseconds now);
 
@@ -99,7 +108,9 @@
     void applyDeclaration(const DeclaredRoutes &declared, Revision revision);
     void reportStoreReachability(const std::string &detail, Milliseconds now);
     bool isCurrent(Milliseconds now) const;
-    void recordRecentChange(const StoreChange &change);
+    void reportUpstream(UpstreamKey key, Revision revision);
+    void fillHead(DirectoryUpdate &update, Milliseconds now) const;
+    void handleKnownRevision();
 
     Times m_times;
     FlowControllerHooks m_hooks;
@@ -112,9 +123,10 @@
     bool m_isDeclarationChanged = false;
     bool m_wasCurrent = false;
     std::uint64_t m_viewVersion = 0;
-    /// Most recent upstream changes; all are newer than m_recentChangesFrom.
-    std::deque<StoreChange> m_recentChanges;
-    Revision m_recentChangesFrom;
+    ChangeLog m_changeLog;
+    GapRecovery m_gap;
+    /// All peers have been sent the changes up to this revision.
+    Revision m_distributed;
     bool m_hasPendingUpdate = false;
 };
 
--- a/src/core/flow/peercontroller.cpp
+++ b/src/core/flow/peercontroller.cpp
@@ -15,7 +15,9 @@
 constexpr std::size_t AnnounceFanOut = 3;
 /// Minimum time between two full member lists sent to peers whose digest differs. Updates reach all
 /// members in well under a second, so a difference that is seen once in this time may be permanent.
-constexpr Milliseconds SnapshotInterval = 3_s;
+constexpr Milliseconds MinMemberListInterval = 3_s;
+/// The interval also grows with the size of a list, so that its share of a link does not.
+constexpr Milliseconds MemberListIntervalPerMember = 50_ms;
 /// Age of the last relayed update after which a lower sequence number comes from an origin that
 /// restarted with an earlier time of day, and not from a delayed datagram.
 constexpr Milliseconds SequenceReorderLimit = 2_s;
@@ -34,7 +36,9 @@
 {
     ControlActions actions;
     m_members.tick(now, actions);
-    return finishActions(actions);
+    PeerActions output = fillGossip(actions);
+    announceUpdates(output);
+    return output;
 }
 
 PeerActions PeerController::handleDatagram(const ControlDatagram &datagram, Endpoint from,
@@ -48,10 +52,15 @@
     const bool isNew = !known || known->incarnation < sender.incarnation;
     ControlActions actions;
     m_members.handle(datagram, from, now, actions);
-    PeerActions output = finishActions(actions);
+    PeerActions output = fillGossip(actions);
+    // A joining member probes a seed first. Its announcements to others need no reply: it knows the
+    // members by then.
+    const bool isJoining = isNew && !std::holds_alternative<Announce>(datagram.body);
     const bool differs = datagram.gossip.digest != m_members.digest();
-    if (isNew || (differs && now >= m_nextMemberList)) {
-        m_nextMemberList = now + SnapshotInterval;
+    if (isJoining || (differs && now >= m_nextMemberList)) {
+        const auto members = static_cast<std::int64_t>(m_members.peerCount());
+        m_nextMemberList =
+                now + std::max(MinMemberListInterval, MemberListIntervalPerMember * members);
         sendMemberList(sender, from, output);
     }
     return output;
@@ -76,8 +85,8 @@
     }
 }
 
-// Fills in the gossip that all datagrams carry and announces membership updates.
-PeerActions PeerController::finishActions(const ControlActions &actions)
+// Fills in the gossip that all datagrams carry.
+PeerActions PeerController::fillGossip(const ControlActions &actions)
 {
     PeerActions output;
     for (const ControlAction &action : actions) {
@@ -86,6 +95,13 @@
             output.datagrams.back().datagram.gossip = makeGossip(send->receiver);
         }
     }
+    return output;
+}
+
+// Called once per tick only: in a large region, updates arrive much faster than that while many
+// members start or fail, and share datagrams this way.
+void PeerController::announceUpdates(PeerActions &output)
+{
     while (m_members.updates().hasUnannounced()) {
         Gossip gossip = makeGossip({});
         gossip.members = m_members.updates().takeUnannounced(MaxMemberUpdates);
@@ -93,7 +109,6 @@
             output.datagrams.push_back({peer.control, peer.id, {gossip, Announce{}}});
         }
     }
-    return output;
 }
 
 Gossip PeerController::makeGossip(InstanceId receiver)
@@ -121,8 +136,27 @@
     return sendToChildren(update);
 }
 
+SendDirectoryUpdate PeerController::reply(DirectoryUpdate update, Endpoint to) const
+{
+    update.origin = m_members.self().id;
+    update.sequence = 0;
+    return {to, std::move(update)};
+}
+
+std::optional<Endpoint> PeerController::receiverOf(const SendChangesRequest &request) const
+{
+    if (request.to) {
+        return request.to;
+    }
+    const std::vector<MemberUpdate> peers = m_members.randomPeers(1);
+    return peers.empty() ? std::nullopt : std::optional(peers.front().control);
+}
+
 PeerActions PeerController::relayUpdate(const DirectoryUpdate &update, Milliseconds now)
 {
+    if (update.sequence == 0) {
+        return {};
+    }
     RelayedUpdate &passed = m_relayed[update.origin];
     if (update.sequence <= passed.sequence && now - passed.at < SequenceReorderLimit) {
         return {};
--- a/src/core/flow/peercontroller.h
+++ b/src/core/flow/peercontroller.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "core/control/membershipcontroller.h"
+#include "core/flow/changesrequest.h"
 #include "core/flow/directoryupdate.h"
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -38,12 +40,18 @@
     PeerController(const MemberUpdate &self, DataCentreId region, std::vector<Endpoint> seeds,
                    const ControlHooks &hooks);
 
-    /// Probes members and disseminates membership changes; call about every 100 ms.
+    /// Probes members and announces the membership changes since the last call; call about every
+    /// 100 ms.
     PeerActions tick(Milliseconds now);
     /// Processes a datagram from @p from; a datagram from another region is ignored.
     PeerActions handleDatagram(const ControlDatagram &datagram, Endpoint from, Milliseconds now);
     /// Distributes an update that this instance has read.
     PeerActions publish(DirectoryUpdate update);
+    /// Returns an update addressed to the one member that has asked for it.
+    SendDirectoryUpdate reply(DirectoryUpdate update, Endpoint to) const;
+    /// Returns the member to ask for missing changes: the one that @p request names, or a random
+    /// one. Empty if no other member is known.
+    std::optional<Endpoint> receiverOf(const SendChangesRequest &request) const;
     /// Relays an update of another instance. Each update is relayed once, as the members' views of
     /// the tree may differ for a while.
     PeerActions relayUpdate(const DirectoryUpdate &update, Milliseconds now);
@@ -65,7 +73,8 @@
 
     PeerActions sendToChildren(const DirectoryUpdate &update) const;
     void sendMemberList(const MemberUpdate &peer, Endpoint to, PeerActions &output) const;
-    PeerActions finishActions(const ControlActions &actions);
+    PeerActions fillGossip(const ControlActions &actions);
+    void announceUpdates(PeerActions &output);
     Gossip makeGossip(InstanceId receiver);
 
     DataCentreId m_region;
--- a/src/core/flow/storereader.cpp
+++ b/src/core/flow/storereader.cpp
@@ -12,11 +12,24 @@
 /// Limits the time from the store's recovery to the first read to less than a second.
 constexpr Milliseconds MaxRetryDelay = 800_ms;
 constexpr std::uint32_t MaxDelayDoublings = 3;
-/// A follower reads when the last confirmation is older than this many watch intervals, plus a
-/// random share of FollowerTimeoutSpread. Two readers confirm once per interval each, so several of
-/// their updates have failed to arrive by then.
+/// A follower reads when the last confirmation is older than this many confirmation intervals, plus
+/// a random share of FollowerTimeoutSpread. Two readers confirm once per interval each, so several
+/// of their updates have failed to arrive by then.
 constexpr double FollowerTimeoutFactor = 1.25;
 constexpr double FollowerTimeoutSpread = 0.5;
+/// A reader reports an outage when the store's last answer is older than this many confirmation
+/// intervals; a watch returns within one.
+constexpr double OutageNoticeFactor = 1.2;
+constexpr Milliseconds OutageNoticeInterval = 500_ms;
+/// Expected number of followers that try to read the store upon each notice of an outage. The first
+/// that succeeds informs the others, so that a store that refuses most instances, including the
+/// readers, is still read.
+constexpr std::size_t ReadsPerOutageNotice = 4;
+/// A follower that hears of an outage tries on its own when the last answer is older than this many
+/// confirmation intervals: the store may refuse its peers and serve it, and what the store reports
+/// must be in force within three. After own failures the time doubles up to MaxOwnReadFactor.
+constexpr std::int64_t OwnReadFactor = 2;
+constexpr std::int64_t MaxOwnReadFactor = 8;
 /// Number of upstreams that platforms list in one page; a snapshot would cost no less than that
 /// page.
 constexpr std::size_t UpstreamsPerPage = 500;
@@ -51,6 +64,29 @@
     return "save_snapshot";
 }
 
+std::string_view toString(StoreCall::Reason reason)
+{
+    switch (reason) {
+    case StoreCall::Reason::Start:
+        return "start";
+    case StoreCall::Reason::Interval:
+        return "interval";
+    case StoreCall::Reason::PeersSilent:
+        return "peers_silent";
+    case StoreCall::Reason::ChangesMissing:
+        return "changes_missing";
+    case StoreCall::Reason::OutageTrial:
+        return "outage_trial";
+    case StoreCall::Reason::Retry:
+        return "retry";
+    case StoreCall::Reason::NewDeclaration:
+        return "new_declaration";
+    case StoreCall::Reason::SnapshotDue:
+        break;
+    }
+    return "snapshot_due";
+}
+
 std::string_view toString(StoreOutcome outcome)
 {
     switch (outcome) {
@@ -99,12 +135,49 @@
     } else {
         call.kind = StoreCall::Kind::Watch;
         call.after = m_after;
-        call.wait = m_phase == Phase::CatchUp ? 0_ms : m_times.wait;
+        call.wait = m_phase == Phase::CatchUp ? 0_ms : watchWait(now);
     }
     m_kind = call.kind;
+    call.reason = reasonFor(call.kind);
+    m_reason = call.reason;
+    m_requestedReason.reset();
     return call;
 }
 
+StoreCall::Reason StoreReader::reasonFor(StoreCall::Kind kind) const
+{
+    if (m_failures > 0) {
+        return StoreCall::Reason::Retry;
+    }
+    if (!isFollowing()) {
+        return StoreCall::Reason::Start;
+    }
+    if (kind == StoreCall::Kind::Declaration) {
+        return StoreCall::Reason::NewDeclaration;
+    }
+    if (kind == StoreCall::Kind::SaveSnapshot) {
+        return StoreCall::Reason::SnapshotDue;
+    }
+    if (!m_isFollower) {
+        return StoreCall::Reason::Interval;
+    }
+    return m_requestedReason.value_or(StoreCall::Reason::PeersSilent);
+}
+
+bool StoreReader::isResultForPeers() const
+{
+    return !m_isFollower ||
+           (m_kind == StoreCall::Kind::Watch && m_reason != StoreCall::Reason::Start);
+}
+
+// A watch that began with a fresh confirmation may wait for the whole interval; one that was due
+// later waits for the rest of it.
+Milliseconds StoreReader::watchWait(Milliseconds now) const
+{
+    const Milliseconds confirmed = m_confirmedAt.value_or(now);
+    return std::max(confirmed + m_times.confirmationInterval - now, 0_ms);
+}
+
 bool StoreReader::isSnapshotDue(Milliseconds now) const
 {
     return isFollowing() && (!m_isFollower || m_isSnapshotMissing) && m_isLarge &&
@@ -144,6 +217,7 @@
         return;
     }
     m_failures = 0;
+    m_hasOutageNotice = false;
     m_due = now;
     if (m_kind == StoreCall::Kind::Declaration) {
         // If it was stale or cannot be decoded, it is requested again after a delay.
@@ -178,6 +252,7 @@
         m_due = isCaughtUp ? now : std::max(now, m_startedAt + m_times.watchInterval);
         return;
     }
+    const bool isOnlyPage = !m_listRevision && !nextPage;
     m_listRevision = m_listRevision ? *m_listRevision : asOf;
     if (nextPage) {
         const bool isFirst = m_page.empty();
@@ -189,6 +264,9 @@
         return;
     }
     beginFollowing(*m_listRevision, now);
+    if (isOnlyPage) {
+        m_due = std::max(now, m_startedAt + m_times.watchInterval);
+    }
     if (m_isLarge) {
         m_snapshotDue = now;
         m_isSnapshotMissing = true;
@@ -211,7 +289,6 @@
 
 void StoreReader::beginFollowing(Revision revision, Milliseconds now)
 {
-    m_isReadRequested = false;
     m_listDraws = 0;
     m_after = revision;
     if (!isFollowing()) {
@@ -222,20 +299,56 @@
 
 bool StoreReader::isCoveredByPeers(Milliseconds now) const
 {
-    if (!m_isFollower || !isFollowing() || m_isReadRequested || !m_confirmedAt) {
+    if (!m_isFollower || !isFollowing() || m_requestedReason || !m_confirmedAt) {
         return false;
     }
     const double timeout =
-            m_followerTimeoutFactor * static_cast<double>(m_times.watchInterval.value);
-    return static_cast<double>((now - *m_confirmedAt).value) < timeout;
+            m_followerTimeoutFactor * static_cast<double>(m_times.confirmationInterval.value);
+    if (static_cast<double>((now - *m_confirmedAt).value) < timeout) {
+        return true;
+    }
+    const bool isNoticeRecent =
+            m_hasOutageNotice && static_cast<double>((now - m_lastNoticeAt).value) < timeout;
+    const Milliseconds lastSign = std::max(*m_confirmedAt, m_startedAt);
+    const std::int64_t factor =
+            std::min(OwnReadFactor << std::min(m_failures, MaxDelayDoublings), MaxOwnReadFactor);
+    return isNoticeRecent && now - lastSign < m_times.confirmationInterval * factor;
 }
 
-void StoreReader::handleDirectoryUpdate(Revision asOf, Milliseconds confirmedAt)
+bool StoreReader::isConfirmationOverdue(Milliseconds confirmedAt, Milliseconds now) const
+{
+    const auto interval = static_cast<double>(m_times.confirmationInterval.value);
+    return static_cast<double>((now - confirmedAt).value) > OutageNoticeFactor * interval;
+}
+
+bool StoreReader::takeOutageNotice(Milliseconds now)
+{
+    if (m_isFollower || !isFollowing() || !m_confirmedAt || now < m_nextOwnNotice ||
+        !isConfirmationOverdue(*m_confirmedAt, now)) {
+        return false;
+    }
+    m_nextOwnNotice = now + OutageNoticeInterval;
+    return true;
+}
+
+void StoreReader::handleDirectoryUpdate(Revision asOf, Milliseconds confirmedAt, Milliseconds now)
 {
     m_after = std::max(m_after, asOf);
     m_confirmedAt = std::max(m_confirmedAt.value_or(confirmedAt), confirmedAt);
-    // The store responds to peers, even if not to this instance.
-    m_failures = 0;
+    if (*m_confirmedAt >= m_startedAt) {
+        // The store responds to peers, even if not to this instance.
+        m_failures = 0;
+    }
+    if (!isConfirmationOverdue(*m_confirmedAt, now)) {
+        m_hasOutageNotice = false;
+        return;
+    }
+    m_hasOutageNotice = true;
+    m_lastNoticeAt = now;
+    if (m_isFollower && !m_isPending &&
+        randomBelow(m_random, m_peerCount + 1) < ReadsPerOutageNotice) {
+        requestRead(StoreCall::Reason::OutageTrial, now);
+    }
 }
 
 void StoreReader::requestDeclaration(Revision revision)
--- a/src/core/flow/storereader.h
+++ b/src/core/flow/storereader.h
@@ -30,7 +30,28 @@
         SaveSnapshot,
     };
 
+    /// Why the call is made.
+    enum class Reason : std::uint8_t {
+        /// This instance does not know the directory yet.
+        Start,
+        /// This instance reads the store for its peers.
+        Interval,
+        /// The updates of the peers failed to arrive.
+        PeersSilent,
+        /// Changes are missing between the known revision and an update of a peer.
+        ChangesMissing,
+        /// The peers that read the store get no answers, and this instance was selected to try.
+        OutageTrial,
+        /// The last call failed.
+        Retry,
+        /// A declaration newer than the one in force is known to exist.
+        NewDeclaration,
+        /// The saved snapshot is old or missing.
+        SnapshotDue,
+    };
+
     Kind kind = Kind::List;
+    Reason reason = Reason::Start;
     /// List: key after which the page begins; empty: the first page.
     std::string pageAfter;
     /// Watch: revision after which changes are requested.
@@ -46,6 +67,9 @@
 /// Returns the name in lower case with underscores. Thread safety: reentrant.
 std::string_view toString(StoreCall::Kind kind);
 
+/// Returns the name in lower case with underscores. Thread safety: reentrant.
+std::string_view toString(StoreCall::Reason reason);
+
 /// Result of a call.
 enum class StoreOutcome : std::uint8_t {
     Done,
@@ -77,8 +101,9 @@
     {
         /// Minimum time between the starts of two watches.
         Milliseconds watchInterval = 1_s;
-        /// Maximum time that a watch waits for a change.
-        Milliseconds wait = 1_s;
+        /// Maximum time between two answers of the store that confirm the known state: a watch
+        /// waits for a change until then.
+        Milliseconds confirmationInterval = 1_s;
     };
 
     StoreReader(Times times, RandomSource random);
@@ -93,15 +118,21 @@
                           Milliseconds now);
 
     /// Processes an update from a peer: all changes up to @p asOf are known, as confirmed by the
-    /// store at @p confirmedAt.
-    void handleDirectoryUpdate(Revision asOf, Milliseconds confirmedAt);
+    /// store at @p confirmedAt. If that is long ago, the peer cannot read the store, and this
+    /// instance decides at random whether it tries.
+    void handleDirectoryUpdate(Revision asOf, Milliseconds confirmedAt, Milliseconds now);
     /// A follower does not read the store while the updates of its peers are recent.
     void setFollower(bool isFollower) { m_isFollower = isFollower; }
-    /// Makes the next watch due immediately.
-    void requestRead(Milliseconds now)
+    /// Sets the number of other members that are not dead.
+    void setPeerCount(std::size_t count) { m_peerCount = count; }
+    /// Returns true if this instance reads for its peers, has had no answer for longer than a
+    /// confirmation interval, and should tell them so now. Call about every 100 ms.
+    bool takeOutageNotice(Milliseconds now);
+    /// Makes the next watch due immediately, for @p reason.
+    void requestRead(StoreCall::Reason reason, Milliseconds now)
     {
         m_due = std::min(m_due, now);
-        m_isReadRequested = true;
+        m_requestedReason = reason;
     }
     /// Requests the declaration until @p revision or a newer one is in force.
     void requestDeclaration(Revision revision);
@@ -115,8 +146,12 @@
     Revision revision() const { return m_after; }
     /// Kind of the call in progress, or of the last one.
     StoreCall::Kind lastCall() const { return m_kind; }
-    /// True if the last call failed and no peer has reached the store since.
-    bool isStoreUnreachable() const { return m_failures > 0; }
+    /// True if the peers need the result of the last call: it was made by an instance that reads
+    /// for them, or by one to which those that read have been silent.
+    bool isResultForPeers() const;
+    /// True if the last call failed, or if the peers that read the store get no answers, and no
+    /// peer has reached the store since.
+    bool isStoreUnreachable() const { return m_failures > 0 || m_hasOutageNotice; }
     /// Time of the last call of this instance or a peer that did not fail.
     std::optional<Milliseconds> confirmedAt() const { return m_confirmedAt; }
     /// True if all changes up to revision() are known.
@@ -135,8 +170,11 @@
         Following,
     };
 
+    Milliseconds watchWait(Milliseconds now) const;
     bool isCoveredByPeers(Milliseconds now) const;
+    bool isConfirmationOverdue(Milliseconds confirmedAt, Milliseconds now) const;
     bool isSnapshotDue(Milliseconds now) const;
+    StoreCall::Reason reasonFor(StoreCall::Kind kind) const;
     void beginFollowing(Revision revision, Milliseconds now);
     /// Decides at random whether this instance lists the whole of a large directory or waits for a
     /// snapshot.
@@ -155,6 +193,7 @@
     /// so it saves a snapshot even if it is a follower.
     bool m_isSnapshotMissing = false;
     StoreCall::Kind m_kind = StoreCall::Kind::List;
+    StoreCall::Reason m_reason = StoreCall::Reason::Start;
     Milliseconds m_startedAt;
     Milliseconds m_due;
     Revision m_after;
@@ -166,9 +205,14 @@
     std::uint32_t m_listDraws = 0;
     std::uint32_t m_failures = 0;
     std::optional<Milliseconds> m_confirmedAt;
+    std::size_t m_peerCount = 0;
+    /// A peer has reported that the store does not answer, and none has read it since.
+    bool m_hasOutageNotice = false;
+    Milliseconds m_lastNoticeAt;
+    Milliseconds m_nextOwnNotice;
     bool m_isFollower = false;
-    /// A read is due even if peers read the store.
-    bool m_isReadRequested = false;
+    /// Reason why a read is due even if peers read the store.
+    std::optional<StoreCall::Reason> m_requestedReason;
     Revision m_declaration;
     Revision m_requestedDeclaration;
     /// A stale read of the requested declaration has been tried.
--- a/src/core/flow/upstreamdirectory.cpp
+++ b/src/core/flow/upstreamdirectory.cpp
@@ -103,21 +103,24 @@
     }
 }
 
-void UpstreamDirectory::handleCompleteList(std::vector<UpstreamId> listed, Revision revision,
-                                           Milliseconds now)
+std::vector<UpstreamId> UpstreamDirectory::handleCompleteList(std::vector<UpstreamId> listed,
+                                                              Revision revision, Milliseconds now)
 {
+    std::vector<UpstreamId> removed;
     std::sort(listed.begin(), listed.end());
     for (auto &[id, idState] : m_idStates) {
         const bool isListed = std::binary_search(listed.begin(), listed.end(), id);
         if (idState.hasEntry && idState.revision <= revision && !isListed) {
             idState.revision = revision;
             removeEntry(idState, now);
+            removed.push_back(id);
         }
     }
     if (!m_isComplete) {
         m_isComplete = true;
         ++m_version;
     }
+    return removed;
 }
 
 void UpstreamDirectory::markMissing(UpstreamKey key, Milliseconds now)
--- a/src/core/flow/upstreamdirectory.h
+++ b/src/core/flow/upstreamdirectory.h
@@ -38,7 +38,9 @@
     /// decoded.
     void handleRemoval(UpstreamId id, Revision revision, Milliseconds now);
     /// Processes a complete list read at @p revision: entries that are not in it are removed.
-    void handleCompleteList(std::vector<UpstreamId> listed, Revision revision, Milliseconds now);
+    /// Returns their ids.
+    std::vector<UpstreamId> handleCompleteList(std::vector<UpstreamId> listed, Revision revision,
+                                               Milliseconds now);
 
     /// Marks the store as unreachable: an entry that expires from now on does not prove that its
     /// upstream is gone.
--- a/src/forwarder/forwarderprocess.cpp
+++ b/src/forwarder/forwarderprocess.cpp
@@ -9,6 +9,7 @@
 #include "io/statusserver.h"
 #include "io/tcpprobe.h"
 #include "io/udpport.h"
+#include "wire/changesrequestcodec.h"
 #include "wire/controlcodec.h"
 #include "wire/directoryupdatecodec.h"
 
@@ -37,7 +38,7 @@
 constexpr Milliseconds ProbeTimeout = 150_ms;
 /// The leaving limit covers three stages: the watch that reports the leaving upstream, the
 /// retransmissions of the last opening packet (600 ms), and the transit time of the packets.
-constexpr std::int64_t WatchesPerLeavingLimit = 3;
+constexpr std::int64_t ConfirmationsPerLeavingLimit = 3;
 
 RandomSource systemRandom()
 {
@@ -97,11 +98,12 @@
     void makeController()
     {
         FlowController::Times times;
-        times.reader.watchInterval =
-                std::min(settings.leavingLimit, settings.declarationLimit) / WatchesPerLeavingLimit;
-        times.reader.wait = times.reader.watchInterval;
-        // Two watch intervals and the time of a slow answer (500 ms).
-        times.confirmation = times.reader.watchInterval * 2 + 500_ms;
+        times.reader.confirmationInterval =
+                std::min(settings.leavingLimit, settings.declarationLimit) /
+                ConfirmationsPerLeavingLimit;
+        times.reader.watchInterval = times.reader.confirmationInterval / 2;
+        // Two confirmation intervals and the time of a slow answer (500 ms).
+        times.confirmation = times.reader.confirmationInterval * 2 + 500_ms;
         times.directory.confirmation = settings.confirmation;
         times.directory.flowLifetime = settings.flowLifetime;
         controller =
@@ -148,10 +150,25 @@
             }
             telemetry.reportUpdateAge(update.assume_value().age);
             send(peers->relayUpdate(update.assume_value(), now));
-            controller->handleDirectoryUpdate(update.assume_value(), now);
+            controller->handleDirectoryUpdate(update.assume_value(), from, now);
+            requestChanges(now);
             advance();
             return;
         }
+        if (isChangesRequestDatagram(bytes)) {
+            const Result<ChangesRequest> request = decodeChangesRequest(bytes);
+            if (!request) {
+                telemetry.reportPeerDecodeError(request.assume_error(), from);
+                return;
+            }
+            PeerActions actions;
+            for (DirectoryUpdate &update :
+                 controller->answerChangesRequest(request.assume_value(), now)) {
+                actions.updates.push_back(peers->reply(std::move(update), from));
+            }
+            send(actions);
+            return;
+        }
         const Result<ControlDatagram> datagram = decodeControlDatagram(bytes);
         if (!datagram) {
             telemetry.reportPeerDecodeError(datagram.assume_error(), from);
@@ -162,15 +179,22 @@
 
     void send(const PeerActions &actions)
     {
+        using Kind = ForwarderTelemetry::PeerDatagram;
         for (const SendDatagram &datagram : actions.datagrams) {
-            peerPort->queue(encodeControlDatagram(datagram.datagram), datagram.to);
+            queueForPeer(encodeControlDatagram(datagram.datagram), datagram.to, Kind::Membership);
         }
         for (const SendDirectoryUpdate &update : actions.updates) {
-            peerPort->queue(encodeDirectoryUpdate(update.update), update.to);
+            queueForPeer(encodeDirectoryUpdate(update.update), update.to, Kind::DirectoryUpdate);
         }
         peerPort->flush();
     }
 
+    void queueForPeer(std::string bytes, Endpoint to, ForwarderTelemetry::PeerDatagram kind)
+    {
+        telemetry.countPeerDatagram(kind, bytes.size());
+        peerPort->queue(std::move(bytes), to);
+    }
+
     void tickPeers(Milliseconds now)
     {
         if (!peers) {
@@ -178,15 +202,27 @@
         }
         send(peers->tick(now));
         // An instance that knows no peers also reads the store.
-        controller->setReader(peers->isReader());
+        controller->setReader(peers->isReader(), peers->peerCount());
+        publishUpdates(now);
+        requestChanges(now);
     }
 
     // Sends what the store's last reply changed or confirmed to the peers.
-    void publishUpdate(Milliseconds now)
+    void publishUpdates(Milliseconds now)
     {
-        const auto update = controller->takeDirectoryUpdate(now);
-        if (update && peers && peers->isReader()) {
-            send(peers->publish(*update));
+        for (DirectoryUpdate &update : controller->takeDirectoryUpdates(now)) {
+            send(peers->publish(std::move(update)));
+        }
+    }
+
+    void requestChanges(Milliseconds now)
+    {
+        const auto request = controller->takeChangesRequest(now);
+        const auto to = request ? peers->receiverOf(*request) : std::nullopt;
+        if (to) {
+            queueForPeer(encodeChangesRequest(request->request), *to,
+                         ForwarderTelemetry::PeerDatagram::ChangesRequest);
+            peerPort->flush();
         }
     }
 
@@ -203,10 +239,12 @@
         const Milliseconds now = clock.now();
         controller->tick(now);
         if (const auto call = controller->nextCall(now)) {
-            callStore(*call, [this, kind = call->kind, now](const StoreReply &reply) {
-                telemetry.reportStoreCall(kind, reply.outcome, clock.now() - now);
+            callStore(*call, [this, made = *call, now](const StoreReply &reply) {
+                telemetry.reportStoreCall(made, reply.outcome, reply.bodyBytes, clock.now() - now);
                 controller->handleReply(reply, clock.now());
-                publishUpdate(clock.now());
+                if (peers) {
+                    publishUpdates(clock.now());
+                }
                 advance();
             });
         }
@@ -219,6 +257,7 @@
     {
         tickPeers(clock.now());
         advance();
+        telemetry.reportControlTraffic();
         log.flush();
         if (stopRequestedAt && isShutdownDue(clock.now())) {
             context.stop();
--- a/src/forwarder/forwardertelemetry.cpp
+++ b/src/forwarder/forwardertelemetry.cpp
@@ -16,6 +16,10 @@
 /// Log lines about individual upstreams per second. Without the limit, an instance that starts
 /// among thousands of upstreams would log each of them before it forwards its first packet.
 constexpr std::uint32_t MaxUpstreamLinesPerSecond = 50;
+/// Interval of the log line with the totals of the control traffic.
+constexpr Milliseconds ControlTrafficLogInterval = 10_s;
+constexpr std::array<std::string_view, 3> PeerDatagramNames = {"membership", "directory_update",
+                                                               "changes_request"};
 
 std::string hex(std::uint64_t value)
 {
@@ -132,7 +136,16 @@
     RouteMetrics routeMetrics;
     Distribution storeCallDurations;
     Distribution updateAges;
+    struct Traffic
+    {
+        std::uint64_t messages = 0;
+        std::uint64_t bytes = 0;
+    };
+
     std::map<std::pair<StoreCall::Kind, StoreOutcome>, std::uint64_t> storeCallCounts;
+    std::map<std::pair<StoreCall::Kind, StoreCall::Reason>, Traffic> storeTraffic;
+    std::array<Traffic, PeerDatagramNames.size()> peerTraffic{};
+    Milliseconds nextControlTrafficLine;
     std::uint64_t invalidItems = 0;
     std::uint64_t storeLosses = 0;
     std::uint64_t peerDecodeErrors = 0;
@@ -275,15 +288,47 @@
                  {{"mistakes", toString(error)}});
 }
 
-void ForwarderTelemetry::reportStoreCall(StoreCall::Kind kind, StoreOutcome outcome,
-                                         Milliseconds duration)
+void ForwarderTelemetry::reportStoreCall(const StoreCall &call, StoreOutcome outcome,
+                                         std::size_t bytes, Milliseconds duration)
 {
-    ++m_d->storeCallCounts[{kind, outcome}];
-    if (kind != StoreCall::Kind::Watch) {
+    ++m_d->storeCallCounts[{call.kind, outcome}];
+    Private::Traffic &traffic = m_d->storeTraffic[{call.kind, call.reason}];
+    ++traffic.messages;
+    traffic.bytes += bytes;
+    if (call.kind != StoreCall::Kind::Watch) {
         m_d->storeCallDurations.add(duration, m_d->clock.now());
     }
 }
 
+void ForwarderTelemetry::countPeerDatagram(PeerDatagram kind, std::size_t bytes)
+{
+    Private::Traffic &traffic = m_d->peerTraffic.at(static_cast<std::size_t>(kind));
+    ++traffic.messages;
+    traffic.bytes += bytes;
+}
+
+void ForwarderTelemetry::reportControlTraffic()
+{
+    const Milliseconds now = m_d->clock.now();
+    if (now < m_d->nextControlTrafficLine) {
+        return;
+    }
+    m_d->nextControlTrafficLine = now + ControlTrafficLogInterval;
+    std::ostringstream calls;
+    for (const auto &[call, traffic] : m_d->storeTraffic) {
+        calls << (calls.tellp() > 0 ? "," : "") << toString(call.first) << "/"
+              << toString(call.second) << ":" << traffic.messages << ":" << traffic.bytes;
+    }
+    const auto &[membership, updates, requests] = m_d->peerTraffic;
+    m_d->log.log(LogLevel::Info, "control", "Control traffic since the start.",
+                 {{"store_calls_and_bytes", calls.str()},
+                  {"membership_datagrams", std::to_string(membership.messages)},
+                  {"membership_bytes", std::to_string(membership.bytes)},
+                  {"update_datagrams", std::to_string(updates.messages)},
+                  {"update_bytes", std::to_string(updates.bytes)},
+                  {"changes_requests", std::to_string(requests.messages)}});
+}
+
 void ForwarderTelemetry::reportUpdateAge(Milliseconds age)
 {
     m_d->updateAges.add(age, m_d->clock.now());
@@ -311,6 +356,16 @@
         text << "damaskhall_store_calls_total{call=\"" << toString(call.first) << "\",outcome=\""
              << toString(call.second) << "\"} " << count << "\n";
     }
+    for (const auto &[call, traffic] : m_d->storeTraffic) {
+        text << "damaskhall_store_received_bytes_total{call=\"" << toString(call.first)
+             << "\",reason=\"" << toString(call.second) << "\"} " << traffic.bytes << "\n"
+             << "damaskhall_store_calls_by_reason_total{call=\"" << toString(call.first)
+             << "\",reason=\"" << toString(call.second) << "\"} " << traffic.messages << "\n";
+    }
+    for (std::size_t i = 0; i < PeerDatagramNames.size(); ++i) {
+        text << "damaskhall_peer_sent_bytes_total{message=\"" << PeerDatagramNames.at(i) << "\"} "
+             << m_d->peerTraffic.at(i).bytes << "\n";
+    }
     printDistribution(text, "damaskhall_store_call_milliseconds", "", m_d->storeCallDurations, now);
     printDistribution(text, "damaskhall_news_age_milliseconds", "", m_d->updateAges, now);
     text << "damaskhall_peers " << input.peers << "\n"
--- a/src/forwarder/forwardertelemetry.h
+++ b/src/forwarder/forwardertelemetry.h
@@ -37,7 +37,20 @@
     void reportReloadFailure(const Error &error);
 
     /// Counts a store call and records its duration, except for watches, which wait for a change.
-    void reportStoreCall(StoreCall::Kind kind, StoreOutcome outcome, Milliseconds duration);
+    /// @p bytes: size of the response's body.
+    void reportStoreCall(const StoreCall &call, StoreOutcome outcome, std::size_t bytes,
+                         Milliseconds duration);
+    /// Kind of a datagram to a peer.
+    enum class PeerDatagram : std::uint8_t {
+        Membership,
+        DirectoryUpdate,
+        ChangesRequest,
+    };
+    /// Counts a datagram of @p bytes sent to a peer.
+    void countPeerDatagram(PeerDatagram kind, std::size_t bytes);
+    /// Writes the totals of the control traffic to the log, at a limited rate; call at least once
+    /// per second.
+    void reportControlTraffic();
     /// Records the age of a peer's update on arrival: the time since the store confirmed its
     /// content.
     void reportUpdateAge(Milliseconds age);
--- a/tests/core/flow/flowcontroller_test.cpp
+++ b/tests/core/flow/flowcontroller_test.cpp
@@ -10,6 +10,8 @@
 using test::makeEntry;
 using test::makeRoutes;
 
+constexpr Endpoint Peer{0x0a000002, 8166};
+
 class FlowControllerTest : public ::testing::Test
 {
 protected:
@@ -20,7 +22,7 @@
     {
         FlowControllerHooks hooks;
         hooks.random = seededRandom(1);
-        hooks.reportUpstream = [](const UpstreamRecord &, Revision) {};
+        hooks.reportUpstream = [this](const UpstreamRecord &, Revision) { ++reportedUpstreams; };
         hooks.reportDeclaration = [](const RouteTable &) {};
         hooks.reportInvalidItem = [this](const std::string &, Revision) { ++invalidItems; };
         hooks.reportStore = [](bool, const std::string &) {};
@@ -72,6 +74,7 @@
     }
 
     int invalidItems = 0;
+    int reportedUpstreams = 0;
     Milliseconds now = 1_s;
     FlowController controller{{}, makeHooks()};
 };
@@ -94,6 +97,16 @@
     EXPECT_EQ(controller.takeView(now), nullptr) << "nothing changed";
 }
 
+// Guards against a log line for each upstream of a large fleet at each start.
+TEST_F(FlowControllerTest, ReportsTheFirstListAsAWhole)
+{
+    replyWithoutSnapshot();
+    reply(done(10, {{{5}, makeEntry(1)}, {{6}, makeEntry(2)}, declared(7, 3)}));
+    EXPECT_EQ(reportedUpstreams, 0);
+    reply(done(12, {{{12}, makeEntry(3)}}));
+    EXPECT_EQ(reportedUpstreams, 1);
+}
+
 // Guards against an older declaration that replaces a newer one.
 TEST_F(FlowControllerTest, AppliesOnlyNewerDeclarations)
 {
@@ -142,7 +155,7 @@
 {
     replyWithoutSnapshot();
     reply(done(10, {{{5}, makeEntry(1)}, {{6}, makeEntry(2)}, declared(7, 3)}));
-    controller.setReader(false);
+    controller.setReader(false, 1);
     StoreReply refused;
     refused.outcome = StoreOutcome::Refused;
     reply(refused);
@@ -152,7 +165,7 @@
     update.to = {12};
     update.declaration = {3};
     update.changes = {{{11}, UpstreamRemoval{makeEntry(1).key.id, {}}}};
-    controller.handleDirectoryUpdate(update, now);
+    controller.handleDirectoryUpdate(update, Peer, now);
     EXPECT_FALSE(controller.isStoreUnreachable());
     EXPECT_EQ(controller.directory().record(makeEntry(1).key).health, UpstreamHealth::Unconfirmed)
             << "it may have expired while the store was unreachable";
@@ -175,7 +188,7 @@
     update.to = {60};
     update.declaration = {3};
     update.changes = {{{20}, former}, {{30}, UpstreamRemoval{former.key.id, {}}}, {{40}, owner}};
-    controller.handleDirectoryUpdate(update, now);
+    controller.handleDirectoryUpdate(update, Peer, now);
     EXPECT_EQ(controller.directory().record(owner.key).health, UpstreamHealth::Ready);
     EXPECT_EQ(controller.directory().records().size(), 1U);
 }
--- a/tests/core/flow/storereader_test.cpp
+++ b/tests/core/flow/storereader_test.cpp
@@ -95,6 +95,31 @@
     EXPECT_EQ(now, started + 1_s);
 }
 
+// Guards against followers that take the readers for silent: a watch that begins late and waits for
+// the whole interval leaves almost two intervals without a confirmation.
+TEST(StoreReaderConfirmation, WatchesReturnWithinTheConfirmationInterval)
+{
+    StoreReader reader({500_ms, 1_s}, seededRandom(1));
+    Milliseconds now = 10_s;
+    reader.next(now);
+    reader.handleCallResult(StoreOutcome::Done, {}, {}, now);
+    reader.next(now);
+    reader.handleCallResult(StoreOutcome::Done, {100}, {}, now);
+    Milliseconds confirmed = now;
+    for (int i = 0; i < 20; ++i) {
+        std::optional<StoreCall> call;
+        while (!(call = reader.next(now))) {
+            now += 10_ms;
+        }
+        ASSERT_EQ(call->kind, StoreCall::Kind::Watch);
+        // Every other watch is answered at once, with a change.
+        now += i % 2 == 0 ? 0_ms : call->wait;
+        EXPECT_LE(now - confirmed, 1010_ms);
+        confirmed = now;
+        reader.handleCallResult(StoreOutcome::Done, {101}, {}, now);
+    }
+}
+
 // Guards against a directory that stays outdated after the store has discarded its history.
 TEST_F(StoreReaderTest, ListsAgainWhenTheHistoryIsLost)
 {
@@ -149,7 +174,7 @@
     EXPECT_GE(now - asked, 100_ms);
     reader.setDeclaration({7});
     completeCall(StoreOutcome::Done);
-    reader.handleDirectoryUpdate({120}, now);
+    reader.handleDirectoryUpdate({120}, now, now);
     EXPECT_FALSE(reader.next(now + 1_s)) << "peers read";
 }
 
--- /dev/null
+++ b/tests/support/peercluster.h
@@ -0,0 +1,310 @@
+#pragma once
+
+#include "core/flow/flowcontroller.h"
+#include "core/flow/peercontroller.h"
+#include "fakes/eventqueue.h"
+#include "support/flowfixture.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace damaskhall::test {
+
+/// Interval at which a balancer calls its controllers.
+inline constexpr Milliseconds TickInterval = 100_ms;
+inline constexpr Milliseconds WatchInterval = 1_s;
+inline constexpr Milliseconds PeerDelay = 2_ms;
+inline constexpr Milliseconds StoreDelay = 8_ms;
+
+/// Forwarders that share the reading of one store, in virtual time. The store keeps every change
+/// until discardHistory(), and its revision increases continuously, as through the heartbeats of
+/// upstreams. Deterministic for a seed. Thread safety: none.
+class PeerCluster
+{
+public:
+    explicit PeerCluster(int size, std::uint64_t seed = 1)
+        : m_random(seededRandom(seed))
+    {
+        m_changes.push_back({{1}, DeclaredRoutes{makeRoutes(1), {}}});
+        write(makeEntry(1));
+        for (int i = 0; i < size; ++i) {
+            m_nodes.emplace_back();
+        }
+        for (int i = 0; i < size; ++i) {
+            start(i);
+        }
+        raiseRevision();
+    }
+
+    void start(int index)
+    {
+        Node &node = m_nodes[static_cast<std::size_t>(index)];
+        const RandomSource random = seededRandom(m_random());
+        FlowControllerHooks hooks;
+        hooks.random = random;
+        hooks.reportUpstream = [](const UpstreamRecord &, Revision) {};
+        hooks.reportDeclaration = [](const RouteTable &) {};
+        hooks.reportInvalidItem = [](const std::string &, Revision) {};
+        hooks.reportStore = [](bool, const std::string &) {};
+        hooks.reportDirectory = [](StoreCall::Kind, std::size_t, Revision) {};
+        hooks.reportSnapshot = [](StoreOutcome, const std::string &, Revision) {};
+        FlowController::Times times;
+        times.reader = {WatchInterval, WatchInterval};
+        node.controller = std::make_unique<FlowController>(times, hooks);
+        MemberUpdate self;
+        self.id.value = static_cast<std::uint32_t>(index + 1);
+        self.incarnation.value = static_cast<std::uint64_t>(events.now().value + 1);
+        self.control = endpoint(index);
+        node.peers = std::make_unique<PeerController>(
+                self, DataCentreId{1}, std::vector<Endpoint>{endpoint(0), endpoint(1)},
+                ControlHooks{random, [](RetryReason) {}, [](ControlEvent) {}});
+        node.isUp = true;
+        tick(index, ++node.start);
+    }
+
+    void kill(int index) { m_nodes[static_cast<std::size_t>(index)].isUp = false; }
+
+    /// Writes an entry of an upstream.
+    void write(const UpstreamEntry &entry) { m_changes.push_back({{++m_revision}, entry}); }
+
+    void declare(std::uint64_t version)
+    {
+        m_changes.push_back({{++m_revision}, DeclaredRoutes{makeRoutes(version), {}}});
+    }
+
+    FlowController &controller(int index)
+    {
+        return *m_nodes[static_cast<std::size_t>(index)].controller;
+    }
+
+    bool isReader(int index) { return m_nodes[static_cast<std::size_t>(index)].peers->isReader(); }
+
+    std::vector<int> readers()
+    {
+        std::vector<int> found;
+        for (int i = 0; i < static_cast<int>(m_nodes.size()); ++i) {
+            if (m_nodes[static_cast<std::size_t>(i)].isUp && isReader(i)) {
+                found.push_back(i);
+            }
+        }
+        return found;
+    }
+
+    /// Removes the entry of an upstream.
+    void remove(const UpstreamEntry &entry)
+    {
+        m_changes.push_back({{++m_revision}, UpstreamRemoval{entry.key.id, {}}});
+    }
+
+    /// The store forgets all changes up to now; only lists return what they led to.
+    void discardHistory() { m_historyStart = m_revision; }
+
+    bool isUp(int index) const { return m_nodes[static_cast<std::size_t>(index)].isUp; }
+    int size() const { return static_cast<int>(m_nodes.size()); }
+
+    /// Returns true if @p entry has the given state at an instance.
+    bool knows(int index, const UpstreamEntry &entry, UpstreamHealth health)
+    {
+        const std::vector<UpstreamRecord> records = controller(index).directory().records();
+        return std::any_of(records.begin(), records.end(), [&](const UpstreamRecord &record) {
+            return record.entry.key == entry.key && record.health == health;
+        });
+    }
+
+    /// Returns at how many live instances @p entry has the given state.
+    int count(const UpstreamEntry &entry, UpstreamHealth health)
+    {
+        int found = 0;
+        for (int i = 0; i < size(); ++i) {
+            found += isUp(i) && knows(i, entry, health) ? 1 : 0;
+        }
+        return found;
+    }
+
+    fakes::EventQueue events;
+    int calls = 0;
+    int datagrams = 0;
+    /// Share of datagrams that are lost.
+    double loss = 0;
+    /// Instances whose calls the store refuses.
+    std::set<int> refused;
+    /// Instances that exchange no datagrams with others.
+    std::set<int> cutOff;
+    /// Calls of each kind and reason since the start.
+    std::map<std::pair<StoreCall::Kind, StoreCall::Reason>, int> callsByReason;
+
+private:
+    struct Node
+    {
+        bool isUp = false;
+        int start = 0;
+        std::unique_ptr<FlowController> controller;
+        std::unique_ptr<PeerController> peers;
+    };
+
+    static Endpoint endpoint(int index)
+    {
+        return {static_cast<std::uint32_t>(0x0a000001 + index), 8166};
+    }
+
+    void raiseRevision()
+    {
+        ++m_revision;
+        events.schedule(events.now() + 70_ms, [this] { raiseRevision(); });
+    }
+
+    void tick(int index, int start)
+    {
+        Node &node = m_nodes[static_cast<std::size_t>(index)];
+        if (!node.isUp || node.start != start) {
+            return;
+        }
+        apply(node.peers->tick(events.now()), index);
+        node.controller->setReader(node.peers->isReader(), node.peers->peerCount());
+        publishUpdates(index);
+        requestChanges(index);
+        node.controller->tick(events.now());
+        startDueCall(index);
+        events.schedule(events.now() + TickInterval, [this, index, start] { tick(index, start); });
+    }
+
+    void startDueCall(int index)
+    {
+        Node &node = m_nodes[static_cast<std::size_t>(index)];
+        const auto call = node.controller->nextCall(events.now());
+        if (!call) {
+            return;
+        }
+        ++calls;
+        ++callsByReason[{call->kind, call->reason}];
+        const int start = node.start;
+        events.schedule(events.now() + StoreDelay, [this, index, start, call = *call] {
+            Node &caller = m_nodes[static_cast<std::size_t>(index)];
+            if (!caller.isUp || caller.start != start) {
+                return;
+            }
+            caller.controller->handleReply(makeReply(index, call), events.now());
+            publishUpdates(index);
+            startDueCall(index);
+        });
+    }
+
+    void publishUpdates(int index)
+    {
+        Node &node = m_nodes[static_cast<std::size_t>(index)];
+        for (const DirectoryUpdate &update : node.controller->takeDirectoryUpdates(events.now())) {
+            apply(node.peers->publish(update), index);
+        }
+    }
+
+    void requestChanges(int index)
+    {
+        Node &node = m_nodes[static_cast<std::size_t>(index)];
+        const auto request = node.controller->takeChangesRequest(events.now());
+        const auto to = request ? node.peers->receiverOf(*request) : std::nullopt;
+        if (!to) {
+            return;
+        }
+        deliver(index, *to, [this, index, request = request->request](int peer) {
+            Node &asked = m_nodes[static_cast<std::size_t>(peer)];
+            PeerActions actions;
+            for (const DirectoryUpdate &update :
+                 asked.controller->answerChangesRequest(request, events.now())) {
+                actions.updates.push_back(asked.peers->reply(update, endpoint(index)));
+            }
+            apply(actions, peer);
+        });
+    }
+
+    StoreReply makeReply(int index, const StoreCall &call) const
+    {
+        StoreReply reply;
+        if (refused.contains(index)) {
+            reply.outcome = StoreOutcome::Refused;
+            return reply;
+        }
+        if (call.kind == StoreCall::Kind::Watch && call.after.value < m_historyStart) {
+            reply.outcome = StoreOutcome::HistoryLost;
+            return reply;
+        }
+        reply.outcome = StoreOutcome::Done;
+        reply.asOf = {m_revision};
+        if (call.kind == StoreCall::Kind::List) {
+            reply.changes = listItems();
+            return reply;
+        }
+        for (const StoreChange &change : m_changes) {
+            const bool isDeclaration = std::holds_alternative<DeclaredRoutes>(change.content);
+            if (call.kind == StoreCall::Kind::Declaration ? isDeclaration
+                                                          : change.revision > call.after) {
+                reply.changes.push_back(change);
+            }
+        }
+        return reply;
+    }
+
+    /// Returns the items that exist now.
+    std::vector<StoreChange> listItems() const
+    {
+        std::vector<StoreChange> items;
+        for (const StoreChange &change : m_changes) {
+            const auto *removal = std::get_if<UpstreamRemoval>(&change.content);
+            const auto *entry = std::get_if<UpstreamEntry>(&change.content);
+            std::erase_if(items, [&](const StoreChange &item) {
+                const auto *older = std::get_if<UpstreamEntry>(&item.content);
+                return older && ((removal && removal->id == older->key.id) ||
+                                 (entry && entry->key.id == older->key.id));
+            });
+            if (!removal) {
+                items.push_back(change);
+            }
+        }
+        return items;
+    }
+
+    void apply(const PeerActions &actions, int from)
+    {
+        for (const SendDatagram &send : actions.datagrams) {
+            deliver(from, send.to, [this, from, datagram = send.datagram](int to) {
+                Node &node = m_nodes[static_cast<std::size_t>(to)];
+                apply(node.peers->handleDatagram(datagram, endpoint(from), events.now()), to);
+            });
+        }
+        for (const SendDirectoryUpdate &send : actions.updates) {
+            deliver(from, send.to, [this, from, update = send.update](int to) {
+                Node &node = m_nodes[static_cast<std::size_t>(to)];
+                apply(node.peers->relayUpdate(update, events.now()), to);
+                node.controller->handleDirectoryUpdate(update, endpoint(from), events.now());
+                requestChanges(to);
+                startDueCall(to);
+            });
+        }
+    }
+
+    template <typename Receive>
+    void deliver(int from, Endpoint to, Receive receive)
+    {
+        ++datagrams;
+        const int index = static_cast<int>(to.address - 0x0a000001);
+        if (randomUnit(m_random) < loss || cutOff.contains(from) || cutOff.contains(index)) {
+            return;
+        }
+        events.schedule(events.now() + PeerDelay, [this, index, receive] {
+            if (m_nodes[static_cast<std::size_t>(index)].isUp) {
+                receive(index);
+            }
+        });
+    }
+
+    RandomSource m_random;
+    std::deque<Node> m_nodes;
+    std::vector<StoreChange> m_changes;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_historyStart = 0;
+};
+
+} // namespace damaskhall::test
