Keep the ports of process tests below the ephemeral ones

The blocks ended at 30,999, but a balancer's admin port lies 2,000 above, in the range from which the system takes ports of outgoing connections. The comment said that the blocks lie below it.

Ruled out: a second program on the port from another test run; the other run had ended four seconds before, and its blocks are checked to be free.

The last block is now chosen so that all ports that follow from it are below 32,768. No test of its own: the failure needs an outgoing connection on that very port.

--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -30,6 +30,12 @@
 constexpr int BalancerOffset = 10;
 constexpr int UpstreamOffset = 50;
 constexpr int BlockSize = 100;
+constexpr int FirstBlock = 12'000;
+/// Largest distance from a balancer's traffic port to its other ports.
+constexpr int MaxPortDistance = 2'000;
+/// First port of the range from which the system takes ephemeral ports by default.
+constexpr int FirstEphemeralPort = 32'768;
+constexpr int Blocks = (FirstEphemeralPort - MaxPortDistance - FirstBlock) / BlockSize - 1;
 /// Programs built with ThreadSanitizer take several seconds to start on a busy machine.
 constexpr int StartLimitSeconds = 30;
 constexpr int CallerDrainSeconds = 30;
@@ -47,12 +53,13 @@
     return isBound;
 }
 
-// Below the range from which the system takes ephemeral ports.
+// All ports that follow from the block are below the ephemeral ones, which outgoing connections of
+// other tests occupy.
 std::uint16_t findPortBlock()
 {
     std::random_device random;
     while (true) {
-        const auto base = static_cast<std::uint16_t>(12'000 + random() % 190 * BlockSize);
+        const auto base = static_cast<std::uint16_t>(FirstBlock + random() % Blocks * BlockSize);
         bool areFree = true;
         for (std::uint16_t i = 0; i < BlockSize && areFree; ++i) {
             areFree = isFree(SOCK_DGRAM, base + i) && isFree(SOCK_STREAM, base + i);
