--- a/review/3/case.py
+++ b/review/3/case.py
@@ -4,12 +4,14 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "standins"))
-from world import CONFIG_APPLY_MS, Client, Operator, World, main, text  # noqa: E402
+from world import GROWN, Client, Operator, World, main, text  # noqa: E402
 
 BOARD, DESK, PASS, DROPPED = 8443, 8080, 8081, 8082
 
 
 class CaseWorld(World):
+    bounds = GROWN
+
     def __init__(self, folder, with_trouble):
         super().__init__(folder, with_trouble)
         self.host = self.ip(9, 1)
@@ -24,7 +26,7 @@
         node = next((n for n in self.nodes if n.address == node_address), None)
         if dropped is None or sent is None or node is None or not node.is_in_touch():
             return
-        if sent - dropped > CONFIG_APPLY_MS / 1000:
+        if sent - dropped > self.bounds.config_apply_ms / 1000:
             self.violate("CONFIG", f"{node.name} opened a flow to the dropped port {route}, sent "
                                    f"{sent - dropped:.2f} s after the ack, at {backend.key}")
 
