--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,102 +1,76 @@
-"""Desired states add routes while the machines are stopped and started in turn."""
+"""Backends go down and up by turns and start again under the ids that they had."""
 import asyncio
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "standins"))
-from world import Client, Operator, World, main  # noqa: E402
+from world import GROWN, Client, Operator, World, main  # noqa: E402
 
-BOARD, DESK = 8443, 8080
-STORMS, STORM_S, STORM_GAP_S = 3, 4.0, 0.33
-PAUSE_S = 0.5
-USE_S = 0.4
-ROLL_GAP_S = 2.0
-USERS_PER_S = 120
+BOARD, CLAIM = 8443, 8081
+LONG_USERS = 480
+PAUSE_S = (5.5, 9.0)
+FLAPS = 3
+FLAPPING = 5
+FLAP_S, FLAP_GAP_S = 5.6, 1.4
 
 
 class CaseWorld(World):
+    bounds = GROWN
+
     def __init__(self, folder, with_trouble):
         super().__init__(folder, with_trouble)
         self.host = self.ip(9, 1)
         self.operator = Operator(self, self.host)
-        self.rolling = 0
-
-    def is_planned_work_under_way(self):
-        return self.rolling > 0
-
-
-async def short_session(client, route):
-    """A user that opens a flow to a route, sends a few requests on it and closes it."""
-    flow = await client.open(route)
-    for _ in range(12):
-        if not flow["open"] or not await client.ask(flow, 1.5):
-            break
-        await asyncio.sleep(client.world.random.uniform(0.02, 0.08))
-    client.close(flow)
 
 
-async def use_route(world, route, seconds):
-    """Users begin to use a route as soon as the store has acknowledged it."""
-    end = world.now() + seconds
-    while world.now() < end:
-        world.spawn(short_session(world.random.choice(world.clients), route))
-        await asyncio.sleep(world.random.expovariate(USERS_PER_S))
+async def quiet_user(client):
+    """Keeps a flow open for a few requests, with pauses between them."""
+    world = client.world
+    await asyncio.sleep(world.random.uniform(0, PAUSE_S[1]))
+    while not world.is_over:
+        flow = await client.open(BOARD)
+        for _ in range(2):
+            if not flow["open"] or not await client.ask(flow, 1.5):
+                break
+            await asyncio.sleep(world.random.uniform(*PAUSE_S))
+        client.close(flow)
 
 
-async def storm(world, first_port):
-    """Adds a route with each desired state, in quick succession."""
-    end = world.now() + STORM_S
-    port = first_port
+async def flap(world, backend, index):
+    await asyncio.sleep(index * FLAP_GAP_S / FLAPPING)
+    end = world.now() + FLAP_S
     while world.now() < end:
-        before = dict(world.operator.routes)
-        world.operator.set_route(port, "workshop-board", "safe")
-        world.operator.put(before)
-        world.spawn(use_route(world, port, USE_S))
-        port += 1
-        await asyncio.sleep(STORM_GAP_S)
-
-
-async def roll(world):
-    """Stops and starts all machines in turn, one at a time."""
-    world.rolling += 1
-    steps = []
-    for node in world.nodes:
-        steps.append(world.spawn(node.restart()))
-        await asyncio.sleep(ROLL_GAP_S)
-    await asyncio.gather(*steps)
-    await asyncio.sleep(2)
-    world.rolling -= 1
+        await backend.crash_and_start(FLAP_GAP_S / 2, keeps_id=True)
+        await asyncio.sleep(FLAP_GAP_S / 2)
 
 
 async def scenario(world):
     await world.store.start()
     operator = world.operator
     operator.set_route(BOARD, "workshop-board", "safe")
-    operator.set_route(DESK, "pattern-desk", "upload")
+    operator.set_route(CLAIM, "workshop-board", "unsafe")
     operator.put({})
-    for zone, count in (("katugastota", 5), ("peradeniya", 5), ("ampitiya", 4)):
+    for zone, count in (("katugastota", 12), ("peradeniya", 12), ("ampitiya", 12)):
         for _ in range(count):
             await world.add_backend("workshop-board", zone)
-    for zone, count in (("katugastota", 2), ("peradeniya", 1), ("ampitiya", 1)):
-        for _ in range(count):
-            await world.add_backend("pattern-desk", zone)
     await world.start_nodes()
     await world.wait_until_ready()
     for index, zone in enumerate(("katugastota", "peradeniya", "ampitiya") * 4, 1):
         client = Client(world, index, zone, world.host)
         await client.start()
         world.clients.append(client)
-        for _ in range(3):
-            world.spawn(client.long_user(BOARD, 0.5))
-        world.spawn(client.short_user(DESK, 1.0))
-    await asyncio.sleep(8)
-    rolling = world.spawn(roll(world)) if world.with_trouble else None
-    for index in range(STORMS):
-        await storm(world, 10000 + 100 * index)
-        await asyncio.sleep(PAUSE_S)
-    if rolling:
-        await rolling
-    await asyncio.sleep(3)
+        for _ in range(LONG_USERS // 12):
+            world.spawn(quiet_user(client))
+        world.spawn(client.short_user(CLAIM, 1.0))
+    await asyncio.sleep(10)
+    for series in range(FLAPS):
+        if world.with_trouble:
+            await asyncio.gather(*(flap(world, b, index) for index, b in
+                                   enumerate(world.backends[series * FLAPPING:][:FLAPPING])))
+        else:
+            await asyncio.sleep(FLAP_S)
+        await asyncio.sleep(2)
+    await asyncio.sleep(10)
 
 
 if __name__ == "__main__":
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,101 +1,102 @@
-"""The desired state changes: a route of kind 'download' is added, another route is dropped."""
+"""Desired states add routes while the machines are stopped and started in turn."""
 import asyncio
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "standins"))
-from world import GROWN, Client, Operator, World, main, text  # noqa: E402
+from world import Client, Operator, World, main  # noqa: E402
 
-BOARD, DESK, PASS, DROPPED = 8443, 8080, 8081, 8082
+BOARD, DESK = 8443, 8080
+STORMS, STORM_S, STORM_GAP_S = 3, 4.0, 0.33
+PAUSE_S = 0.5
+USE_S = 0.4
+ROLL_GAP_S = 2.0
+USERS_PER_S = 120
 
 
 class CaseWorld(World):
-    bounds = GROWN
-
     def __init__(self, folder, with_trouble):
         super().__init__(folder, with_trouble)
         self.host = self.ip(9, 1)
         self.operator = Operator(self, self.host)
-        self.sent_at = {}
-
-    def check_opening(self, backend, key, node_address):
-        """Judges rule CONFIG: a backend took the opening packet of a flow to a dropped route."""
-        source, port, _, route = key
-        dropped = self.operator.dropped_at.get(route)
-        sent = self.sent_at.get((text(source), port))
-        node = next((n for n in self.nodes if n.address == node_address), None)
-        if dropped is None or sent is None or node is None or not node.is_in_touch():
-            return
-        if sent - dropped > self.bounds.config_apply_ms / 1000:
-            self.violate("CONFIG", f"{node.name} opened a flow to the dropped port {route}, sent "
-                                   f"{sent - dropped:.2f} s after the ack, at {backend.key}")
-
-
-async def user_of_dropped_route(client, route, pause):
-    """Goes on opening flows to a route that the desired state has dropped."""
-    world = client.world
-    while not world.is_over:
-        await asyncio.sleep(pause)
-        world.sent_at[(client.address, client.next_port + 1)] = world.now()
-        flow = await client.open(route)
-        world.note(f"opening to dropped port {route}: "
-                   f"{'open' if flow['open'] else 'reset' if flow['reset'] else 'no response'}")
-        client.close(flow)
-
-
-async def user_of_new_route(client, route, pause):
-    """Opens flows to a route that the desired state has added."""
-    world = client.world
-    while not world.is_over:
-        await asyncio.sleep(pause)
-        sent = world.now()
-        flow = await client.open(route)
-        if flow["open"]:
-            await client.ask(flow, 2.0)
-        else:
-            world.failed += 1
-            late = sent - world.operator.added_at[route]
-            world.note(f"opening to new port {route}, sent {late:.2f} s after the ack: "
-                       f"{'reset' if flow['reset'] else 'no response'}")
-        client.close(flow)
+        self.rolling = 0
+
+    def is_planned_work_under_way(self):
+        return self.rolling > 0
+
+
+async def short_session(client, route):
+    """A user that opens a flow to a route, sends a few requests on it and closes it."""
+    flow = await client.open(route)
+    for _ in range(12):
+        if not flow["open"] or not await client.ask(flow, 1.5):
+            break
+        await asyncio.sleep(client.world.random.uniform(0.02, 0.08))
+    client.close(flow)
+
+
+async def use_route(world, route, seconds):
+    """Users begin to use a route as soon as the store has acknowledged it."""
+    end = world.now() + seconds
+    while world.now() < end:
+        world.spawn(short_session(world.random.choice(world.clients), route))
+        await asyncio.sleep(world.random.expovariate(USERS_PER_S))
+
+
+async def storm(world, first_port):
+    """Adds a route with each desired state, in quick succession."""
+    end = world.now() + STORM_S
+    port = first_port
+    while world.now() < end:
+        before = dict(world.operator.routes)
+        world.operator.set_route(port, "workshop-board", "safe")
+        world.operator.put(before)
+        world.spawn(use_route(world, port, USE_S))
+        port += 1
+        await asyncio.sleep(STORM_GAP_S)
+
+
+async def roll(world):
+    """Stops and starts all machines in turn, one at a time."""
+    world.rolling += 1
+    steps = []
+    for node in world.nodes:
+        steps.append(world.spawn(node.restart()))
+        await asyncio.sleep(ROLL_GAP_S)
+    await asyncio.gather(*steps)
+    await asyncio.sleep(2)
+    world.rolling -= 1
 
 
 async def scenario(world):
     await world.store.start()
     operator = world.operator
-    operator.set_route(BOARD, "desk-core", "safe")
-    operator.set_route(DESK, "desk-core", "unsafe")
-    operator.set_route(DROPPED, "pass-print", "safe")
+    operator.set_route(BOARD, "workshop-board", "safe")
+    operator.set_route(DESK, "pattern-desk", "upload")
     operator.put({})
-    for zone, count in (("katugastota", 3), ("peradeniya", 3), ("ampitiya", 2)):
+    for zone, count in (("katugastota", 5), ("peradeniya", 5), ("ampitiya", 4)):
         for _ in range(count):
-            await world.add_backend("desk-core", zone)
-    for zone in ("katugastota", "peradeniya", "ampitiya"):
-        await world.add_backend("pass-print", zone)
+            await world.add_backend("workshop-board", zone)
+    for zone, count in (("katugastota", 2), ("peradeniya", 1), ("ampitiya", 1)):
+        for _ in range(count):
+            await world.add_backend("pattern-desk", zone)
     await world.start_nodes()
     await world.wait_until_ready()
-    for index, zone in enumerate(("katugastota", "peradeniya", "ampitiya") * 2, 1):
+    for index, zone in enumerate(("katugastota", "peradeniya", "ampitiya") * 4, 1):
         client = Client(world, index, zone, world.host)
         await client.start()
         world.clients.append(client)
         for _ in range(3):
             world.spawn(client.long_user(BOARD, 0.5))
-        world.spawn(client.short_user(DESK, 0.5))
+        world.spawn(client.short_user(DESK, 1.0))
     await asyncio.sleep(8)
-    before = dict(operator.routes)
-    operator.set_route(PASS, "pass-print", "download" if world.with_trouble else "safe")
-    operator.drop_route(DROPPED)
-    operator.put(before)
-    testers = []
-    for index, zone in enumerate(("katugastota", "peradeniya", "ampitiya"), 20):
-        client = Client(world, index, zone, world.host)
-        await client.start()
-        testers.append(client)
-        world.spawn(user_of_new_route(client, PASS, 0.5))
-        other = Client(world, index + 10, zone, world.host)
-        await other.start()
-        world.spawn(user_of_dropped_route(other, DROPPED, 0.5))
-    await asyncio.sleep(12)
+    rolling = world.spawn(roll(world)) if world.with_trouble else None
+    for index in range(STORMS):
+        await storm(world, 10000 + 100 * index)
+        await asyncio.sleep(PAUSE_S)
+    if rolling:
+        await rolling
+    await asyncio.sleep(3)
 
 
 if __name__ == "__main__":
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -202,6 +202,7 @@
         self.items = {}
         self.events = []
         self.history = []
+        self.last_check_in = {}
         self.revision = 100
         self.changed = asyncio.Event()
 
@@ -220,8 +221,25 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def check_in(self, key, entry):
+        """Handles a check-in of a backend. The item changes when more than 'seq' changes."""
+        self.last_check_in[key] = self.world.now()
+        known = json.loads(base64.b64decode(self.items[key]["value"])) if key in self.items else {}
+        if dict(known, seq=0) != dict(entry, seq=0):
+            self.write(key, json.dumps(entry).encode())
+
+    async def remove_silent_entries(self):
+        """Removes the entries of backends that have been silent for three check-in intervals."""
+        while not self.world.is_over:
+            limit = self.world.now() - 3 * HEARTBEAT_S
+            for key in [k for k, at in self.last_check_in.items() if at < limit and k in self.items]:
+                self.write(key, None)
+                self.world.note(f"store: {key} removed after three check-in intervals of silence")
+            await asyncio.sleep(0.1)
+
     async def start(self):
         await asyncio.start_server(self.connection, self.world.ip(4, 1), self.world.store_port)
+        self.world.spawn(self.remove_silent_entries())
 
     async def connection(self, reader, writer):
         try:
@@ -376,7 +394,7 @@
         born = self.born
         while self.is_alive and self.born == born:
             self.sequence += 1
-            self.world.store.write(self.key, json.dumps(self.entry()).encode())
+            self.world.store.check_in(self.key, self.entry())
             await asyncio.sleep(HEARTBEAT_S * self.world.random.uniform(0.95, 1.05))
 
     def end(self):
@@ -385,12 +403,14 @@
             self.transport.close()
             self.listener.close()
 
-    async def crash_and_start(self, down_s):
-        """Crashes and starts again under the same id: a new boot that holds nothing of before."""
+    async def crash_and_start(self, down_s, keeps_id):
+        """Crashes and starts again: a new boot that holds nothing of before."""
         self.end()
         self.flows.clear()
         self.world.note(f"{self.key} crashed")
         await asyncio.sleep(down_s)
+        if not keeps_id:
+            self.identity = self.world.random.randrange(1 << 16, 1 << 32)
         self.born = int(time.time() * 1000)
         self.started_at = self.world.now()
         self.state, self.sequence, self.is_alive = "ready", 0, True
