--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,7 +11,7 @@
 PAUSE_S = 0.5
 USE_S = 0.4
 ROLL_GAP_S = 2.0
-USERS_PER_S = 120
+USERS_PER_S = 200
 
 
 class CaseWorld(World):
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -42,6 +42,7 @@
 KANDY = Bounds(stability_ms=4000, drain_ms=3000, config_apply_ms=3000)
 GROWN = Bounds(stability_ms=5000, drain_ms=5000, config_apply_ms=5000)
 IDLE_TIMEOUT_MS = 15000
+RESET_WINDOW = 76800
 HEARTBEAT_S = 1.2
 ZONES = {"katugastota": 2, "peradeniya": 3, "ampitiya": 1}
 
@@ -155,8 +156,9 @@
         backend = next((b for b in self.backends if b.address == flow["backend"]), None)
         key = (number(client.address), flow["port"], client.host, flow["route"])
         node = next((n for n in self.nodes if n.address == node_address), None)
-        detail = (f"reset by {node.name if node else node_address} on flow {client.address}:{flow['port']} "
-                  f"to port {flow['route']}, open for {now - flow['opened']:.2f} s at "
+        in_touch = "in touch" if node and node.is_in_touch() else "not in touch"
+        detail = (f"reset by {node.name if node else node_address} ({in_touch}) on flow "
+                  f"{client.address}:{flow['port']} to port {flow['route']}, open for {now - flow['opened']:.2f} s at "
                   f"{backend.key if backend else flow['backend']}")
         if backend is None or not backend.is_alive or now - backend.started_at < self.bounds.stability_ms / 1000:
             self.note(f"excused, the backend does not live or has just started: {detail}")
@@ -594,6 +596,9 @@
         body = data[32:]
         if flags & RST:
             if total == 0 and not body:
+                distance = (seq - flow["ack"] + (1 << 31)) % (1 << 32) - (1 << 31)
+                if flow["open"] and abs(distance) > RESET_WINDOW:
+                    return
                 flow["reset_by"] = address[0]
                 if flow["open"]:
                     self.world.check_reset(self, flow, address[0])
