--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,9 +7,10 @@
 from world import Client, Operator, World, main  # noqa: E402
 
 BOARD, DESK = 8443, 8080
-STORMS, STORM_S, STORM_GAP_S = 3, 4.0, 0.33
+STORMS, STORM_S, STORM_GAP_S = 9, 4.0, 0.33
 PAUSE_S = 0.5
 USE_S = 0.4
+ROLLS = 3
 ROLL_GAP_S = 2.0
 USERS_PER_S = 200
 
@@ -57,10 +58,10 @@
 
 
 async def roll(world):
-    """Stops and starts all machines in turn, one at a time."""
+    """Stops and starts all machines in turn, one at a time, several times."""
     world.rolling += 1
     steps = []
-    for node in world.nodes:
+    for node in world.nodes * ROLLS:
         steps.append(world.spawn(node.restart()))
         await asyncio.sleep(ROLL_GAP_S)
     await asyncio.gather(*steps)
