Keep the flows of an upstream that restarts under its id

Cause: a cookie named the incarnation that the instance knew when it placed the flow. Packets name only the id, so the new incarnation takes flows that are opened before its entry is read. With the entry, the earlier incarnation became Replaced and every packet with its cookie was reset for 60 s. An instance that started later dropped them, as it had never known that cookie.

Change: the cookie depends on the id only. A packet of a flow of an earlier incarnation is forwarded to the current one, which serves it or resets it itself; it counts as upstream_restarted. Copies of opening packets follow, unless the service has changed. Flows of an upstream whose address another one has taken are reset as before. Cookies of the old form are still found, for upgrades. Resets log their upstream.

ResetsFlowsOfAReplacedUpstream asserted the fault: it took an upstream for replaced that had restarted under its id. It now replaces the upstream by another one at its address, and is as strict; the restart has seven tests of its own.

--- a/fakes/randomforwarder.cpp
+++ b/fakes/randomforwarder.cpp
@@ -28,7 +28,7 @@
     decision.action = FlowAction::Forward;
     decision.upstream = record->entry.key;
     decision.endpoint = record->entry.endpoint;
-    decision.cookie = flowCookie(record->entry.key, packet.key.route);
+    decision.cookie = flowCookie(record->entry.key.id, packet.key.route);
     return decision;
 }
 
--- a/src/core/flow/flowdecision.cpp
+++ b/src/core/flow/flowdecision.cpp
@@ -30,6 +30,8 @@
         return "established";
     case FlowReason::Recovered:
         return "recovered";
+    case FlowReason::UpstreamRestarted:
+        return "upstream_restarted";
     case FlowReason::NotStarted:
         return "not_started";
     case FlowReason::NoRoute:
--- a/src/core/flow/flowdecision.h
+++ b/src/core/flow/flowdecision.h
@@ -30,6 +30,9 @@
     Established,
     /// Packet of a flow that another balancer opened; the upstream was found by the cookie.
     Recovered,
+    /// Packet of a flow in this balancer's flow table whose upstream has restarted since. The
+    /// current incarnation received it: it may hold the flow, or else resets it.
+    UpstreamRestarted,
     /// The declaration or the upstreams are not known yet.
     NotStarted,
     /// No declared route has this address.
@@ -42,7 +45,7 @@
     NoUpstream,
     /// As NoUpstream, but the list of upstreams may be out of date.
     NoUpstreamUnconfirmed,
-    /// Another process has taken the place of the flow's upstream.
+    /// Another upstream has taken the address of the flow's upstream.
     UpstreamReplaced,
     /// The flow's upstream responds neither to packets nor to connection attempts; the client may
     /// retry at another one.
@@ -54,7 +57,7 @@
     /// The packet cannot be decoded.
     Malformed,
 };
-inline constexpr int FlowReasonCount = 16;
+inline constexpr int FlowReasonCount = 17;
 
 /// Returns the name in lower case with underscores. Thread safety: reentrant.
 std::string_view toString(FlowAction action);
@@ -66,9 +69,10 @@
 {
     FlowAction action = FlowAction::Drop;
     FlowReason reason = FlowReason::Malformed;
-    /// Set for Forward only: the upstream that receives the packet, and the cookie to write into
-    /// it.
+    /// Forward: the upstream that receives the packet. Reset because of an upstream: that one, if
+    /// it is known.
     UpstreamKey upstream;
+    /// Set for Forward only: the upstream's address, and the cookie to write into the packet.
     Endpoint endpoint;
     FlowCookie cookie;
     /// Revision of the declaration that the decision is based on; zero if none was known.
--- a/src/core/flow/flowrouter.cpp
+++ b/src/core/flow/flowrouter.cpp
@@ -111,19 +111,24 @@
         return placeFlow(context, std::nullopt, context.now, FlowReason::Placed);
     }
     Flow &flow = *context.flow;
-    const UpstreamRecord *record = m_view->find(flow.upstream);
-    const bool mayServe = record && (record->health == UpstreamHealth::Ready ||
-                                     record->health == UpstreamHealth::Unconfirmed);
+    const UpstreamRecord *record = m_view->findCurrent(flow.upstream.id);
+    const UpstreamStats &stats = m_upstreamStats.at(flow.statsId);
+    const bool mayServe = record && record->entry.service == stats.service &&
+                          (record->health == UpstreamHealth::Ready ||
+                           record->health == UpstreamHealth::Unconfirmed);
     // Answers from two upstreams would confuse the client, so a retransmitted opening packet is
     // only moved away from an upstream that does not respond.
-    const UpstreamStats &stats = m_upstreamStats.at(flow.statsId);
     const bool isAlive = !Placement::isSilent(stats, context.now);
     const bool isOpen = flow.phase != FlowPhase::Opening;
-    if (isOpen && !mayServe) {
+    const bool isRestarted = record && record->entry.key != flow.upstream;
+    if (isOpen && (!mayServe || isRestarted)) {
         // A late retransmission; the flow continues at its upstream.
         return makeDecision(FlowAction::Drop, FlowReason::OpeningRepeated);
     }
     if (mayServe && (isAlive || isOpen)) {
+        if (isRestarted) {
+            m_flows.move(flow, record->entry);
+        }
         flow.lastSeen = context.now;
         m_upstreamStats.recordOpening(flow.statsId, context.now);
         return makeForwardDecision(context, *record, FlowReason::OpeningRepeated);
@@ -160,7 +165,7 @@
     decision.reason = reason;
     decision.upstream = record.entry.key;
     decision.endpoint = record.entry.endpoint;
-    decision.cookie = flowCookie(record.entry.key, context.packet.key.route);
+    decision.cookie = flowCookie(record.entry.key.id, context.packet.key.route);
     return decision;
 }
 
@@ -175,16 +180,23 @@
         // The first packet after the handshake carries the cookie of the upstream that the client
         // accepted. Retransmitted opening packets may have gone to another one.
         const UpstreamRecord *accepted = m_view->findByCookie(packet.cookie, packet.key.route);
-        if (accepted && accepted->entry.key != flow.upstream) {
+        if (accepted && accepted->entry.key.id != flow.upstream.id) {
             m_flows.move(flow, accepted->entry);
         }
     }
-    const UpstreamRecord *record = m_view->find(flow.upstream);
+    const UpstreamRecord *record = m_view->findCurrent(flow.upstream.id);
     if (const auto lost = filterReplacedUpstream(context, record)) {
         m_flows.erase(packet.key);
         return lost;
     }
-    const FlowDecision decision = makeForwardDecision(context, *record, FlowReason::Established);
+    // The flow may have ended with the earlier incarnation. If so, the current one resets it.
+    const bool isRestarted = record->entry.key != flow.upstream;
+    if (isRestarted) {
+        m_flows.move(flow, record->entry);
+    }
+    const FlowDecision decision = makeForwardDecision(context, *record,
+                                                      isRestarted ? FlowReason::UpstreamRestarted
+                                                                  : FlowReason::Established);
     flow.isIdempotent = context.route && context.route->kind == RouteKind::Idempotent;
     updateFlow(context);
     if (const auto unreachable = filterUnreachable(context)) {
@@ -218,16 +230,18 @@
     return decision;
 }
 
-// A flow ends with the process that holds it. The reset lets the client retry at once instead of
-// waiting for its timeout.
+// An upstream whose address belongs to another one receives no packets any more. The reset lets the
+// client retry at once instead of waiting for its timeout.
 std::optional<FlowDecision> FlowRouter::filterReplacedUpstream(const PacketContext &context,
                                                                const UpstreamRecord *record) const
 {
     const FlowAction action = context.packet.isReset ? FlowAction::Drop : FlowAction::Reset;
-    if (!record || record->health == UpstreamHealth::Replaced) {
-        return makeDecision(action, FlowReason::UpstreamReplaced);
+    if (record && record->health != UpstreamHealth::Replaced) {
+        return std::nullopt;
     }
-    return std::nullopt;
+    FlowDecision decision = makeDecision(action, FlowReason::UpstreamReplaced);
+    decision.upstream = record ? record->entry.key : UpstreamKey{};
+    return decision;
 }
 
 // A request to an upstream that has just failed a connection attempt would wait in vain. The client
--- a/src/core/flow/flowview.cpp
+++ b/src/core/flow/flowview.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <xxhash.h>
 
 namespace damaskhall {
@@ -12,7 +13,14 @@
 constexpr std::uint32_t ZeroCookieSubstitute = 0x5eed5eed;
 const std::vector<std::uint32_t> NoCandidates;
 
-std::uint32_t upstreamCookieHash(UpstreamKey upstream)
+std::uint32_t upstreamCookieHash(UpstreamId upstream)
+{
+    return XXH32(&upstream.value, sizeof(upstream.value), 0);
+}
+
+// Hash in the cookies of earlier versions, which differ between the incarnations of an upstream.
+// Open flows carry them while the balancers are upgraded.
+std::uint32_t incarnationCookieHash(UpstreamKey upstream)
 {
     const std::array<std::uint64_t, 2> words = {upstream.id.value, upstream.born.value};
     return XXH32(words.data(), sizeof(words), 0);
@@ -26,7 +34,7 @@
 
 } // namespace
 
-FlowCookie flowCookie(UpstreamKey upstream, Endpoint route)
+FlowCookie flowCookie(UpstreamId upstream, Endpoint route)
 {
     const std::uint32_t cookie = upstreamCookieHash(upstream) ^ routeCookieHash(route);
     return {cookie == 0 ? ZeroCookieSubstitute : cookie};
@@ -38,10 +46,8 @@
     , m_records(std::move(records))
     , m_isCurrent(isCurrent)
 {
-    m_cookies.reserve(m_records.size());
     for (std::uint32_t i = 0; i < m_records.size(); ++i) {
         const UpstreamRecord &record = m_records[i];
-        m_cookies.push_back({upstreamCookieHash(record.entry.key), i});
         if (record.health == UpstreamHealth::Ready ||
             record.health == UpstreamHealth::Unconfirmed) {
             Candidates &candidates = m_candidates[record.entry.service];
@@ -49,6 +55,23 @@
             candidates.byDataCentre[record.entry.dataCentre].push_back(i);
         }
     }
+    indexCookies();
+}
+
+void FlowView::indexCookies()
+{
+    m_cookies.reserve(2 * m_records.size());
+    std::optional<UpstreamId> last;
+    std::uint32_t current = 0;
+    for (const UpstreamRecord &record : m_records) {
+        const UpstreamKey key = record.entry.key;
+        if (last != key.id) {
+            last = key.id;
+            current = static_cast<std::uint32_t>(findCurrent(key.id) - m_records.data());
+            m_cookies.push_back({upstreamCookieHash(key.id), current});
+        }
+        m_cookies.push_back({incarnationCookieHash(key), current});
+    }
     std::sort(m_cookies.begin(), m_cookies.end(),
               [](const CookieIndex &a, const CookieIndex &b) { return a.base < b.base; });
 }
@@ -62,6 +85,22 @@
     return found != m_records.end() && found->entry.key == key ? &*found : nullptr;
 }
 
+const UpstreamRecord *FlowView::findCurrent(UpstreamId id) const
+{
+    auto found = std::lower_bound(m_records.begin(), m_records.end(), id,
+                                  [](const UpstreamRecord &record, UpstreamId wanted) {
+                                      return record.entry.key.id < wanted;
+                                  });
+    const UpstreamRecord *current = nullptr;
+    for (; found != m_records.end() && found->entry.key.id == id; ++found) {
+        current = &*found;
+        if (found->health != UpstreamHealth::Replaced) {
+            return current;
+        }
+    }
+    return current;
+}
+
 const UpstreamRecord *FlowView::findByCookie(FlowCookie cookie, Endpoint route) const
 {
     const std::uint32_t original = cookie.value == ZeroCookieSubstitute ? 0 : cookie.value;
--- a/src/core/flow/flowview.h
+++ b/src/core/flow/flowview.h
@@ -12,9 +12,10 @@
 namespace damaskhall {
 
 /// Returns the cookie for flows of @p route at @p upstream; never zero. As this is a pure function,
-/// any balancer can find the upstream of any flow, even after all balancers have restarted.
-/// Thread safety: reentrant.
-FlowCookie flowCookie(UpstreamKey upstream, Endpoint route);
+/// any balancer can find the upstream of any flow, even after all balancers have restarted. It does
+/// not depend on the incarnation: packets reach a restarted upstream under its id, and only the
+/// upstream knows which flows it still holds. Thread safety: reentrant.
+FlowCookie flowCookie(UpstreamId upstream, Endpoint route);
 
 /// Snapshot of the control state that traffic threads base their decisions on. Immutable after
 /// publication, so it may be read from any thread.
@@ -37,8 +38,11 @@
 
     /// Returns the record of an upstream, or null.
     const UpstreamRecord *find(UpstreamKey key) const;
-    /// Returns the upstream with @p cookie for flows of @p route, or null. If several upstreams
-    /// have that cookie, one of a service that the route sends flows to is preferred.
+    /// Returns the incarnation that runs under an id; if none does, the last one known, or null.
+    const UpstreamRecord *findCurrent(UpstreamId id) const;
+    /// Returns the current incarnation of the upstream with @p cookie for flows of @p route, or
+    /// null. If several upstreams have that cookie, one of a service that the route sends flows to
+    /// is preferred.
     const UpstreamRecord *findByCookie(FlowCookie cookie, Endpoint route) const;
     /// Returns the upstreams of a service that may receive new flows, as indices into upstreams().
     const std::vector<std::uint32_t> &candidates(ServiceId service) const;
@@ -56,9 +60,12 @@
     {
         /// Hash of the upstream: the cookie before it is combined with the route's hash.
         std::uint32_t base = 0;
+        /// Index of the current incarnation.
         std::uint32_t record = 0;
     };
 
+    void indexCookies();
+
     std::shared_ptr<const RouteTable> m_routes;
     std::vector<UpstreamRecord> m_records;
     bool m_isCurrent = false;
--- a/src/core/flow/upstreamentry.h
+++ b/src/core/flow/upstreamentry.h
@@ -11,7 +11,8 @@
 namespace damaskhall {
 
 /// Identifies one incarnation of an upstream. A restarted process may keep its id, but shares no
-/// state with its earlier incarnation.
+/// state with its earlier incarnation. Packets name only the id, so they reach the incarnation that
+/// runs when they arrive, whichever one the balancer knows.
 struct UpstreamKey
 {
     UpstreamId id;
@@ -47,7 +48,8 @@
     Leaving,
     /// Its entry is gone. Packets of flows that it may still hold are forwarded.
     Gone,
-    /// Another process is known to run in its place, so its flows are lost.
+    /// Another process is known to run in its place: another upstream, or a later incarnation,
+    /// which may hold flows that were opened before its entry was read.
     Replaced,
 };
 
--- a/tests/core/flow/flowrouter_test.cpp
+++ b/tests/core/flow/flowrouter_test.cpp
@@ -62,10 +62,12 @@
 // Guards against a client that waits for an upstream that is known not to hold its flow.
 TEST_F(FlowLifecycle, ResetsFlowsOfAReplacedUpstream)
 {
+    UpstreamEntry successor = makeEntry(2, 2000);
+    successor.endpoint = makeEntry(1).endpoint;
     fixture.publish({makeEntry(1)});
     const FlowDecision placed = fixture.open(1);
-    fixture.publishRecords({{makeEntry(1), UpstreamHealth::Replaced, {}},
-                            {makeEntry(1, 2000), UpstreamHealth::Ready, {}}});
+    fixture.publishRecords(
+            {{makeEntry(1), UpstreamHealth::Replaced, {}}, {successor, UpstreamHealth::Ready, {}}});
     const FlowDecision known = fixture.send(makeDataPacket(1, placed.cookie, 10));
     EXPECT_EQ(known.action, FlowAction::Reset);
     EXPECT_EQ(known.reason, FlowReason::UpstreamReplaced);
@@ -73,6 +75,118 @@
             << "also on a balancer that does not know the flow";
 }
 
+// An upstream that starts again under the id that it had.
+class FlowRestartedUpstream : public ::testing::Test
+{
+protected:
+    FlowRestartedUpstream() { restarted.endpoint = {0x0a020001, 8000}; }
+
+    /// This balancer reads the entry of the new incarnation.
+    void readNewEntry(FlowRouterFixture &balancer) const
+    {
+        balancer.publishRecords({{makeEntry(1), UpstreamHealth::Replaced, {}},
+                                 {restarted, UpstreamHealth::Ready, {}},
+                                 {makeEntry(2), UpstreamHealth::Ready, {}}});
+    }
+
+    FlowRouterFixture fixture;
+    /// The second incarnation.
+    UpstreamEntry restarted = makeEntry(1, 2000);
+};
+
+// Guards against the reset of a flow that the new incarnation holds: it was opened after the
+// restart, by a balancer that had not read the new entry.
+TEST_F(FlowRestartedUpstream, ReceivesFlowsOpenedBeforeItsEntryWasRead)
+{
+    fixture.publish({makeEntry(1)});
+    const FlowDecision placed = fixture.open(1);
+    readNewEntry(fixture);
+    const FlowDecision known = fixture.send(makeDataPacket(1, placed.cookie, 10));
+    EXPECT_EQ(known.action, FlowAction::Forward);
+    EXPECT_EQ(known.reason, FlowReason::UpstreamRestarted);
+    EXPECT_EQ(known.upstream, restarted.key);
+    EXPECT_EQ(known.endpoint, restarted.endpoint);
+    EXPECT_EQ(fixture.send(makeDataPacket(1, known.cookie, 10, 1011)).reason,
+              FlowReason::Established);
+}
+
+// Guards against a client that waits until its timeout because the upstream has ended again.
+TEST_F(FlowRestartedUpstream, IsProbedIfItDoesNotAnswer)
+{
+    fixture.publish({makeEntry(1)});
+    const FlowDecision placed = fixture.open(1);
+    readNewEntry(fixture);
+    fixture.send(makeDataPacket(1, placed.cookie, 10));
+    fixture.now += 200_ms;
+    fixture.send(makeDataPacket(1, placed.cookie, 10));
+    ASSERT_EQ(fixture.probed.size(), 1U);
+    EXPECT_EQ(fixture.probed[0], restarted.key);
+}
+
+// Guards against a silent loss of the same flow at a balancer that started after the restart and
+// never knew the earlier incarnation.
+TEST_F(FlowRestartedUpstream, ReceivesItsFlowsThroughABalancerThatStartedLater)
+{
+    fixture.publish({makeEntry(1)});
+    const FlowDecision placed = fixture.open(1);
+    FlowRouterFixture other(2);
+    other.publish({restarted, makeEntry(2)});
+    const FlowDecision recovered = other.send(makeDataPacket(1, placed.cookie, 10));
+    EXPECT_EQ(recovered.action, FlowAction::Forward);
+    EXPECT_EQ(recovered.upstream, restarted.key);
+}
+
+// Guards against flows that break when the entry of the new incarnation expires or announces that
+// it is leaving.
+TEST_F(FlowRestartedUpstream, KeepsItsFlowsInEveryStateButReplaced)
+{
+    for (const auto health :
+         {UpstreamHealth::Leaving, UpstreamHealth::Unconfirmed, UpstreamHealth::Gone}) {
+        fixture.publish({makeEntry(1)});
+        const FlowDecision placed = fixture.open(1);
+        fixture.publishRecords(
+                {{makeEntry(1), UpstreamHealth::Replaced, {}}, {restarted, health, {}}});
+        EXPECT_EQ(fixture.send(makeDataPacket(1, placed.cookie, 10)).action, FlowAction::Forward);
+    }
+    fixture.publish({makeEntry(1), restarted}, UpstreamHealth::Replaced);
+    EXPECT_EQ(fixture.send(makeDataPacket(1, flowCookie(restarted.key.id, test::BoardRoute), 10))
+                      .reason,
+              FlowReason::UpstreamReplaced);
+}
+
+// Guards against two upstreams that both answer one client: the first opening packet may have
+// reached the new incarnation.
+TEST_F(FlowRestartedUpstream, ReceivesTheCopiesOfAnOpeningPacket)
+{
+    fixture.publish({makeEntry(1)});
+    fixture.send(makeOpeningPacket(1));
+    readNewEntry(fixture);
+    fixture.now += 20_ms;
+    const FlowDecision copy = fixture.send(makeOpeningPacket(1, 1));
+    EXPECT_EQ(copy.reason, FlowReason::OpeningRepeated);
+    EXPECT_EQ(copy.upstream, restarted.key);
+}
+
+// Guards against an opening packet that reaches a service to which its route does not lead.
+TEST_F(FlowRestartedUpstream, ReceivesNoCopiesIfItsServiceHasChanged)
+{
+    fixture.publish({makeEntry(1)});
+    fixture.send(makeOpeningPacket(1));
+    restarted.service = test::Desk;
+    readNewEntry(fixture);
+    fixture.now += 20_ms;
+    EXPECT_EQ(fixture.send(makeOpeningPacket(1, 1)).upstream, makeEntry(2).key);
+}
+
+// Guards against a second flow at the new incarnation, caused by a late copy of an opening packet.
+TEST_F(FlowRestartedUpstream, ReceivesNoCopiesOfAFlowThatIsOpen)
+{
+    fixture.publish({makeEntry(1)});
+    fixture.open(1);
+    readNewEntry(fixture);
+    EXPECT_EQ(fixture.send(makeOpeningPacket(1, 1)).action, FlowAction::Drop);
+}
+
 // Guards against resets of flows only because they are not in this balancer's flow table.
 TEST_F(FlowLifecycle, DropsPacketsOfUnknownFlows)
 {
@@ -93,7 +207,7 @@
     fixture.publish(entries);
     const FlowDecision placed = fixture.send(makeOpeningPacket(1));
     const UpstreamKey other = placed.upstream == entries[0].key ? entries[1].key : entries[0].key;
-    const FlowCookie accepted = flowCookie(other, test::BoardRoute);
+    const FlowCookie accepted = flowCookie(other.id, test::BoardRoute);
     EXPECT_EQ(fixture.send(makeDataPacket(1, accepted, 0)).upstream, other);
     // The late answer of the first upstream changed the cookie that the client returns.
     const FlowDecision next = fixture.send(makeDataPacket(1, placed.cookie, 10));
@@ -104,7 +218,7 @@
 // Guards against a cookie of one route that gives access to another route's service.
 TEST(FlowCookies, DependOnTheRoute)
 {
-    const UpstreamKey key = makeEntry(1).key;
+    const UpstreamId key = makeEntry(1).key.id;
     EXPECT_NE(flowCookie(key, test::BoardRoute), flowCookie(key, test::DeskRoute));
     FlowRouterFixture fixture;
     fixture.publish({makeEntry(1)});
@@ -113,6 +227,19 @@
     EXPECT_EQ(fixture.send(packet).reason, FlowReason::UnknownCookie);
 }
 
+// Guards against flows that break while the balancers are upgraded: earlier versions wrote cookies
+// that depend on the incarnation.
+TEST(FlowCookies, OfEarlierVersionsAreFound)
+{
+    // Of the first incarnation of upstream 1 for flows of the board route.
+    constexpr FlowCookie Previous{0xa536d649};
+    FlowRouterFixture fixture;
+    fixture.publish({makeEntry(1), makeEntry(2)});
+    const FlowDecision decision = fixture.send(makeDataPacket(1, Previous, 10));
+    EXPECT_EQ(decision.upstream, makeEntry(1).key);
+    EXPECT_EQ(decision.cookie, flowCookie(makeEntry(1).key.id, test::BoardRoute));
+}
+
 // Flows that a balancer resets, and flows that it must not reset.
 class FlowRefusals : public ::testing::Test
 {
