Keep open flows whose route the declaration in force lacks

Cause: filterRoute() took a missing route for a removed one if the store or a peer had been heard within 2.5 s. Instances apply a declaration up to 0.7 s apart, so that proves nothing about one written since.

Evidence: all resets are no_route. One instance reset a flow of route 10202 with version 59 at 54.014 s and had version 63 in force at 54.093 s.

Change: such a flow continues by its cookie. It is reset once the removal is certain: this instance forwarded it while the route was declared (declarations are applied in ascending order), or a read of the declaration that began after its first packet here lacks the route too. The router asks for that read at most twice a second; a stale, failed or undecodable one proves nothing. Opening packets to a missing route are dropped, not refused, while a newer declaration is known to exist.

--- a/fakes/flowfleet.cpp
+++ b/fakes/flowfleet.cpp
@@ -146,6 +146,7 @@
                 finishProbe(balancer, key, !upstreams[endpoint.address - 1].isSilent);
             });
         };
+        hooks.confirmDeclaration = [] {};
         balancer.router = std::make_unique<FlowRouter>(
                 DataCentreId{static_cast<std::uint32_t>(balancer.dataCentre + 1)},
                 std::move(hooks));
--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -78,6 +78,9 @@
             applyChange(change, now);
         }
     }
+    if (m_reader.isCurrentDeclarationRead()) {
+        confirmDeclaration(reply);
+    }
     handleKnownRevision();
     m_hasPendingUpdate = m_hasPendingUpdate ||
                          (kind != StoreCall::Kind::Declaration && m_reader.isResultForPeers());
@@ -182,6 +185,23 @@
     m_hooks.reportDeclaration(*m_routes);
 }
 
+// A declaration that cannot be decoded confirms nothing: it may contain any route.
+void FlowController::confirmDeclaration(const StoreReply &reply)
+{
+    for (const StoreChange &change : reply.changes) {
+        const auto *declared = std::get_if<DeclaredRoutes>(&change.content);
+        if (declared && declared->table && declared->table->revision == revision()) {
+            m_declarationState.confirmed = revision();
+            m_declarationState.confirmedAt = m_reader.lastCallAt();
+        }
+    }
+}
+
+void FlowController::requestCurrentDeclaration(Milliseconds now)
+{
+    m_reader.requestCurrentDeclaration(now);
+}
+
 void FlowController::setReader(bool isReader, std::size_t peerCount)
 {
     m_reader.setFollower(!isReader);
@@ -300,6 +320,16 @@
     m_directory.tick(now);
 }
 
+std::optional<DeclarationState> FlowController::takeDeclarationState()
+{
+    m_declarationState.newest = std::max(m_reader.requestedDeclaration(), revision());
+    if (m_declarationState == m_takenDeclarationState) {
+        return std::nullopt;
+    }
+    m_takenDeclarationState = m_declarationState;
+    return m_declarationState;
+}
+
 bool FlowController::isCurrent(Milliseconds now) const
 {
     const auto confirmed = m_reader.confirmedAt();
--- a/src/core/flow/flowcontroller.h
+++ b/src/core/flow/flowcontroller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/flow/changelog.h"
+#include "core/flow/declarationstate.h"
 #include "core/flow/flowview.h"
 #include "core/flow/gaprecovery.h"
 #include "core/flow/storereader.h"
@@ -77,6 +78,8 @@
     /// Returns the changes that a peer lacks, in sequence; empty if they are not known any more.
     std::vector<DirectoryUpdate> answerChangesRequest(const ChangesRequest &request,
                                                       Milliseconds now) const;
+    /// Requests a read of the current declaration; takeDeclarationState() returns what it confirms.
+    void requestCurrentDeclaration(Milliseconds now);
     /// Sets whether this instance reads the store on behalf of its peers. An instance that does not
     /// only reads when updates fail to arrive. @p peerCount: other members that are not dead.
     void setReader(bool isReader, std::size_t peerCount);
@@ -89,6 +92,9 @@
 
     /// Returns a new view if anything changed since the last one, or null.
     std::shared_ptr<const FlowView> takeView(Milliseconds now);
+    /// Returns what is known about the stored declaration if that has changed since the last call,
+    /// or nothing. Call after takeView(), whose view may contain the declaration.
+    std::optional<DeclarationState> takeDeclarationState();
     /// True once the declaration and the complete directory are known, so that flows can be placed.
     bool isUsable() const { return m_routes != nullptr && m_directory.isComplete(); }
     /// Revision of the declaration in force; zero if there is none yet.
@@ -106,6 +112,7 @@
     /// revision: revision of the listed items.
     void completeDirectory(StoreCall::Kind kind, Revision revision, Milliseconds now);
     void applyDeclaration(const DeclaredRoutes &declared, Revision revision);
+    void confirmDeclaration(const StoreReply &reply);
     void reportStoreReachability(const std::string &detail, Milliseconds now);
     bool isCurrent(Milliseconds now) const;
     void reportUpstream(UpstreamKey key, Revision revision);
@@ -117,6 +124,8 @@
     StoreReader m_reader;
     UpstreamDirectory m_directory;
     std::shared_ptr<const RouteTable> m_routes;
+    DeclarationState m_declarationState;
+    DeclarationState m_takenDeclarationState;
     /// Ids seen in the list being read or in the snapshot.
     std::vector<UpstreamId> m_listedIds;
     bool m_wasStoreUnreachable = false;
--- a/src/core/flow/flowdecision.h
+++ b/src/core/flow/flowdecision.h
@@ -35,9 +35,10 @@
     UpstreamRestarted,
     /// The declaration or the upstreams are not known yet.
     NotStarted,
-    /// No declared route has this address.
+    /// Opening packet; no declared route has this address.
     NoRoute,
-    /// As NoRoute, but the platform has not confirmed the declaration recently.
+    /// As NoRoute, but the platform has not confirmed the declaration recently, or a newer one is
+    /// known to exist.
     NoRouteUnconfirmed,
     /// The route was removed while the flow was open.
     RouteRemoved,
--- a/src/core/flow/flowrouter.cpp
+++ b/src/core/flow/flowrouter.cpp
@@ -23,6 +23,9 @@
 /// after 200 ms, and the time limit of the attempt is added.
 constexpr Milliseconds UnreachableResetDelay = 300_ms;
 
+/// Minimum time between two requests to confirm the declaration; a read of the store takes less.
+constexpr Milliseconds ConfirmationInterval = 500_ms;
+
 constexpr std::int32_t sequenceDistance(std::uint32_t from, std::uint32_t to)
 {
     return static_cast<std::int32_t>(to - from);
@@ -51,6 +54,11 @@
     m_upstreamStats.handleView(*m_view);
 }
 
+void FlowRouter::handleDeclarationState(const DeclarationState &state)
+{
+    m_declarationState = state;
+}
+
 FlowDecision FlowRouter::handlePacket(const FlowPacket &packet, Milliseconds now)
 {
     static constexpr std::array<Filter, 5> Chain = {
@@ -77,8 +85,9 @@
     return makeDecision(FlowAction::Hold, FlowReason::NotStarted);
 }
 
-// A removed route ends its flows. A route that is missing in an outdated declaration may exist, so
-// nothing is sent to the client in that case.
+// A removed route ends its flows. A route that is missing in the declaration in force may have been
+// added by a newer one, under which another balancer opened the flow: the flow continues by its
+// cookie until the route is known to be removed.
 std::optional<FlowDecision> FlowRouter::filterRoute(PacketContext &context)
 {
     const FlowKey &key = context.packet.key;
@@ -87,19 +96,40 @@
     if (context.route) {
         return std::nullopt;
     }
-    if (!m_view->isCurrent()) {
-        if (context.packet.isOpening) {
-            return makeDecision(FlowAction::Drop, FlowReason::NoRouteUnconfirmed);
-        }
+    if (context.flow && isRouteRemoved(*context.flow)) {
+        m_flows.erase(key);
+        return makeDecision(context.packet.isReset ? FlowAction::Drop : FlowAction::Reset,
+                            FlowReason::RouteRemoved);
+    }
+    if (!context.packet.isOpening) {
         return std::nullopt;
     }
-    const bool isKnown = context.flow != nullptr;
-    m_flows.erase(key);
-    if (context.packet.isReset) {
-        return makeDecision(FlowAction::Drop, FlowReason::NoRoute);
+    if (context.flow || !isMissingRouteCertain()) {
+        return makeDecision(FlowAction::Drop, FlowReason::NoRouteUnconfirmed);
+    }
+    return makeDecision(FlowAction::Reset, FlowReason::NoRoute);
+}
+
+bool FlowRouter::isMissingRouteCertain() const
+{
+    return m_view->isCurrent() && m_declarationState.newest <= m_view->routes().revision;
+}
+
+// Precondition: the declaration in force lacks the flow's route. As declarations are applied in
+// ascending order, the route was removed if an earlier one had it, or if the flow is older than the
+// read that confirmed this one.
+bool FlowRouter::isRouteRemoved(const Flow &flow) const
+{
+    return flow.wasRouteDeclared || (m_declarationState.confirmed == m_view->routes().revision &&
+                                     m_declarationState.confirmedAt > flow.firstSeen);
+}
+
+void FlowRouter::requestConfirmation(Milliseconds now)
+{
+    if (now >= m_nextConfirmation) {
+        m_nextConfirmation = now + ConfirmationInterval;
+        m_hooks.confirmDeclaration();
     }
-    return makeDecision(FlowAction::Reset,
-                        isKnown ? FlowReason::RouteRemoved : FlowReason::NoRoute);
 }
 
 std::optional<FlowDecision> FlowRouter::filterOpening(PacketContext &context)
@@ -151,6 +181,7 @@
                        : makeDecision(FlowAction::Drop, FlowReason::NoUpstreamUnconfirmed);
     }
     Flow &flow = m_flows.insert(context.packet.key, record->entry, FlowPhase::Opening, context.now);
+    flow.wasRouteDeclared = true;
     flow.nextClientSequence = context.packet.sequence + 1;
     flow.requestAt = firstAttemptAt;
     m_upstreamStats.recordOpening(flow.statsId, context.now);
@@ -327,6 +358,11 @@
     const FlowPacket &packet = context.packet;
     const Milliseconds now = context.now;
     flow.lastSeen = now;
+    if (context.route) {
+        flow.wasRouteDeclared = true;
+    } else {
+        requestConfirmation(now);
+    }
     if (flow.phase == FlowPhase::Opening) {
         m_flows.setPhase(flow, FlowPhase::Open);
         flow.acknowledged = packet.acknowledgment;
--- a/src/core/flow/flowrouter.h
+++ b/src/core/flow/flowrouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/random.h"
+#include "core/flow/declarationstate.h"
 #include "core/flow/flowdecision.h"
 #include "core/flow/flowtable.h"
 #include "core/flow/placement.h"
@@ -26,6 +27,9 @@
     std::function<void(const FlowPacket &, Milliseconds duration)> reportOpening;
     /// Requests a connection attempt; its result is passed to handleProbe().
     std::function<void(UpstreamKey, Endpoint)> probe;
+    /// Requests a read of the current declaration, as an open flow uses a route that the one in
+    /// force lacks; the result is passed to handleDeclarationState().
+    std::function<void()> confirmDeclaration;
 };
 
 /// Decides how to handle each client packet: runs a chain of filters and uses the first decision.
@@ -38,6 +42,9 @@
 
     /// Replaces the view. Precondition: @p view is not null.
     void handleView(std::shared_ptr<const FlowView> view);
+    /// Replaces what is known about the stored declaration. A declaration that @p state confirms is
+    /// passed to handleView() first.
+    void handleDeclarationState(const DeclarationState &state);
     /// Decides about one client packet and updates the flow table and the upstream statistics.
     FlowDecision handlePacket(const FlowPacket &packet, Milliseconds now);
     /// Processes the result of a connection attempt. Returns one packet for each flow to reset,
@@ -77,12 +84,17 @@
     void startProbeRound(const Flow &flow, Milliseconds now);
     void sendProbe(UpstreamStats &stats, Milliseconds now);
     void updateFlow(PacketContext &context);
+    bool isMissingRouteCertain() const;
+    bool isRouteRemoved(const Flow &flow) const;
+    void requestConfirmation(Milliseconds now);
 
     FlowRouterHooks m_hooks;
     std::shared_ptr<const FlowView> m_view = std::make_shared<const FlowView>();
     UpstreamStatsTable m_upstreamStats;
     FlowTable m_flows;
     Placement m_placement;
+    DeclarationState m_declarationState;
+    Milliseconds m_nextConfirmation;
     Milliseconds m_nextTick;
 };
 
--- a/src/core/flow/flowtable.cpp
+++ b/src/core/flow/flowtable.cpp
@@ -67,6 +67,7 @@
     flow.upstream = upstream.key;
     flow.statsId = m_d->upstreamStats.open(upstream);
     flow.phase = phase;
+    flow.firstSeen = now;
     flow.lastSeen = now;
     flow.lastOpeningAt = now;
     m_d->adjustFlowCounts(flow, 1);
--- a/src/core/flow/flowtable.h
+++ b/src/core/flow/flowtable.h
@@ -29,6 +29,9 @@
     bool isIdempotent = false;
     /// The pending opening packet or request is included in the load of the upstream.
     bool isCountedAsLoad = true;
+    /// The route was declared when a packet of the flow arrived.
+    bool wasRouteDeclared = false;
+    Milliseconds firstSeen;
     Milliseconds lastSeen;
     /// When an opening packet was last forwarded.
     Milliseconds lastOpeningAt;
--- a/src/core/flow/storereader.cpp
+++ b/src/core/flow/storereader.cpp
@@ -81,6 +81,8 @@
         return "retry";
     case StoreCall::Reason::NewDeclaration:
         return "new_declaration";
+    case StoreCall::Reason::RouteMissing:
+        return "route_missing";
     case StoreCall::Reason::SnapshotDue:
         break;
     }
@@ -115,7 +117,8 @@
         return std::nullopt;
     }
     StoreCall call;
-    const bool isDeclarationDue = isFollowing() && m_requestedDeclaration > m_declaration;
+    const bool isDeclarationDue = isFollowing() && (m_isCurrentDeclarationRequested ||
+                                                    m_requestedDeclaration > m_declaration);
     if (!isDeclarationDue && !isSnapshotDue(now) && isCoveredByPeers(now)) {
         return std::nullopt;
     }
@@ -128,7 +131,8 @@
     } else if (isDeclarationDue) {
         call.kind = StoreCall::Kind::Declaration;
         // Without a declaration in force, a stale one would be applied as the current one.
-        call.isStaleAllowed = !m_hasTriedStaleRead && m_declaration != Revision{};
+        call.isStaleAllowed = !m_isCurrentDeclarationRequested && !m_hasTriedStaleRead &&
+                              m_declaration != Revision{};
         m_hasTriedStaleRead = true;
     } else if (isSnapshotDue(now)) {
         call.kind = StoreCall::Kind::SaveSnapshot;
@@ -138,9 +142,13 @@
         call.wait = m_phase == Phase::CatchUp ? 0_ms : watchWait(now);
     }
     m_kind = call.kind;
+    m_isStaleAllowed = call.isStaleAllowed || call.kind == StoreCall::Kind::Snapshot;
     call.reason = reasonFor(call.kind);
     m_reason = call.reason;
     m_requestedReason.reset();
+    if (call.kind == StoreCall::Kind::Declaration) {
+        m_isCurrentDeclarationRequested = false;
+    }
     return call;
 }
 
@@ -153,7 +161,8 @@
         return StoreCall::Reason::Start;
     }
     if (kind == StoreCall::Kind::Declaration) {
-        return StoreCall::Reason::NewDeclaration;
+        return m_isCurrentDeclarationRequested ? StoreCall::Reason::RouteMissing
+                                               : StoreCall::Reason::NewDeclaration;
     }
     if (kind == StoreCall::Kind::SaveSnapshot) {
         return StoreCall::Reason::SnapshotDue;
@@ -214,6 +223,8 @@
         const auto jitter = randomBelow(m_random, static_cast<std::uint64_t>(delay.value));
         m_due = now + delay / 2 + Milliseconds{static_cast<std::int64_t>(jitter)};
         ++m_failures;
+        m_isCurrentDeclarationRequested =
+                m_isCurrentDeclarationRequested || isCurrentDeclarationRead();
         return;
     }
     m_failures = 0;
@@ -351,6 +362,19 @@
     }
 }
 
+bool StoreReader::isCurrentDeclarationRead() const
+{
+    return m_kind == StoreCall::Kind::Declaration && !m_isStaleAllowed;
+}
+
+void StoreReader::requestCurrentDeclaration(Milliseconds now)
+{
+    m_isCurrentDeclarationRequested = true;
+    if (m_failures == 0) {
+        m_due = std::min(m_due, now);
+    }
+}
+
 void StoreReader::requestDeclaration(Revision revision)
 {
     if (revision > m_requestedDeclaration) {
--- a/src/core/flow/storereader.h
+++ b/src/core/flow/storereader.h
@@ -46,6 +46,8 @@
         Retry,
         /// A declaration newer than the one in force is known to exist.
         NewDeclaration,
+        /// An open flow uses a route that the declaration in force lacks.
+        RouteMissing,
         /// The saved snapshot is old or missing.
         SnapshotDue,
     };
@@ -136,6 +138,10 @@
     }
     /// Requests the declaration until @p revision or a newer one is in force.
     void requestDeclaration(Revision revision);
+    /// Requests one read of the declaration that begins now or later and is not stale.
+    void requestCurrentDeclaration(Milliseconds now);
+    /// Newest revision passed to requestDeclaration().
+    Revision requestedDeclaration() const { return m_requestedDeclaration; }
     /// Sets the number of upstreams that have an entry.
     void setDirectorySize(std::size_t size);
     /// Called when any instance has saved a snapshot.
@@ -146,6 +152,10 @@
     Revision revision() const { return m_after; }
     /// Kind of the call in progress, or of the last one.
     StoreCall::Kind lastCall() const { return m_kind; }
+    /// When the call in progress, or the last one, began.
+    Milliseconds lastCallAt() const { return m_startedAt; }
+    /// True if the last call read the declaration, and its result cannot be stale.
+    bool isCurrentDeclarationRead() const;
     /// True if the peers need the result of the last call: it was made by an instance that reads
     /// for them, or by one to which those that read have been silent.
     bool isResultForPeers() const;
@@ -217,6 +227,9 @@
     Revision m_requestedDeclaration;
     /// A stale read of the requested declaration has been tried.
     bool m_hasTriedStaleRead = false;
+    bool m_isCurrentDeclarationRequested = false;
+    /// Whether the last call may return a stale result.
+    bool m_isStaleAllowed = false;
 };
 
 } // namespace damaskhall
--- a/src/forwarder/flowworker.cpp
+++ b/src/forwarder/flowworker.cpp
@@ -183,6 +183,11 @@
     asio::post(m_d->context, [d = m_d.get(), view = std::move(view)] { d->handleView(view); });
 }
 
+void FlowWorker::publish(const DeclarationState &state)
+{
+    asio::post(m_d->context, [d = m_d.get(), state] { d->router.handleDeclarationState(state); });
+}
+
 void FlowWorker::reportProbeResult(UpstreamKey upstream, bool isReachable)
 {
     asio::post(m_d->context,
--- a/src/forwarder/flowworker.h
+++ b/src/forwarder/flowworker.h
@@ -60,6 +60,9 @@
     Result<void> start();
     /// Replaces the view that the traffic thread uses. Precondition: @p view is not null.
     void publish(std::shared_ptr<const FlowView> view);
+    /// Passes what is known about the stored declaration to the traffic thread, after all views
+    /// that were published before.
+    void publish(const DeclarationState &state);
     /// Passes the result of a connection attempt that FlowRouterHooks::probe requested to the
     /// traffic thread.
     void reportProbeResult(UpstreamKey upstream, bool isReachable);
--- a/src/forwarder/forwarderprocess.cpp
+++ b/src/forwarder/forwarderprocess.cpp
@@ -85,6 +85,12 @@
         hooks.probe = [this](UpstreamKey upstream, Endpoint endpoint) {
             asio::post(context, [this, upstream, endpoint] { probe(upstream, endpoint); });
         };
+        hooks.confirmDeclaration = [this] {
+            asio::post(context, [this] {
+                controller->requestCurrentDeclaration(clock.now());
+                advance();
+            });
+        };
         worker = std::make_unique<FlowWorker>(options, platform.packetCodec, std::move(hooks),
                                               clock);
         BOOST_OUTCOME_TRYV(worker->start());
@@ -251,6 +257,9 @@
         if (auto view = controller->takeView(now)) {
             worker->publish(std::move(view));
         }
+        if (const auto state = controller->takeDeclarationState()) {
+            worker->publish(*state);
+        }
     }
 
     void tick()
--- a/src/forwarder/forwardertelemetry.cpp
+++ b/src/forwarder/forwardertelemetry.cpp
@@ -174,6 +174,7 @@
             [d = m_d.get()](const FlowPacket &packet, Milliseconds duration) {
                 d->routeMetrics.addOpening(packet.key.route, duration, d->clock.now());
             },
+            {},
             {}};
 }
 
--- a/src/forwarder/forwardertelemetry.h
+++ b/src/forwarder/forwardertelemetry.h
@@ -21,7 +21,8 @@
     ForwarderTelemetry(const ForwarderTelemetry &) = delete;
     ForwarderTelemetry &operator=(const ForwarderTelemetry &) = delete;
 
-    /// Returns hooks for the traffic thread. FlowRouterHooks::probe is left unset.
+    /// Returns hooks for the traffic thread. FlowRouterHooks::probe and
+    /// FlowRouterHooks::confirmDeclaration are left unset.
     FlowRouterHooks flowHooks(RandomSource random);
     /// Returns hooks for the FlowController, called on the control thread.
     FlowControllerHooks controlHooks(RandomSource random);
--- a/tests/core/flow/flowcontroller_test.cpp
+++ b/tests/core/flow/flowcontroller_test.cpp
@@ -131,6 +131,53 @@
     EXPECT_EQ(controller.directory().records().size(), 1U);
 }
 
+// Guards against a flow that is reset because its route is missing in a declaration which is not
+// the current one: only a read that began later proves that it is.
+TEST_F(FlowControllerTest, ConfirmsTheDeclarationByAReadOfItsOwn)
+{
+    replyWithoutSnapshot();
+    reply(done(10, {declared(7, 3)}));
+    ASSERT_TRUE(controller.takeDeclarationState());
+    now += 100_ms;
+    const Milliseconds requested = now;
+    controller.requestCurrentDeclaration(now);
+    const StoreCall call = awaitCall();
+    EXPECT_EQ(call.kind, StoreCall::Kind::Declaration);
+    EXPECT_EQ(call.reason, StoreCall::Reason::RouteMissing);
+    EXPECT_FALSE(call.isStaleAllowed);
+    EXPECT_EQ(now, requested) << "the flow is waiting";
+    now += 50_ms;
+    controller.handleReply(done(12, {declared(7, 3)}), now);
+    const auto state = controller.takeDeclarationState();
+    ASSERT_TRUE(state);
+    EXPECT_EQ(*state, (DeclarationState{{3}, {3}, requested}));
+    EXPECT_FALSE(controller.takeDeclarationState()) << "nothing changed";
+}
+
+// Guards against a stale read, a failed one or an unreadable declaration that counts as proof.
+TEST_F(FlowControllerTest, ConfirmsTheDeclarationOnlyByACurrentReadableOne)
+{
+    replyWithoutSnapshot();
+    reply(done(10, {declared(7, 3)}));
+    DirectoryUpdate update;
+    update.from = {10};
+    update.to = {12};
+    update.declaration = {4};
+    controller.handleDirectoryUpdate(update, Peer, now);
+    EXPECT_EQ(controller.takeDeclarationState()->newest, Revision{4});
+    EXPECT_TRUE(awaitCall().isStaleAllowed);
+    controller.handleReply(done(12, {declared(7, 3)}), now);
+    EXPECT_FALSE(controller.takeDeclarationState());
+
+    controller.requestCurrentDeclaration(now);
+    awaitCall();
+    controller.handleReply({}, now);
+    EXPECT_FALSE(controller.takeDeclarationState());
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::Declaration) << "tried again";
+    controller.handleReply(done(13, {{{13}, DeclaredRoutes{nullptr, "unknown kind"}}}), now);
+    EXPECT_FALSE(controller.takeDeclarationState());
+}
+
 // Guards against resets based on an outdated declaration while the store is unreachable.
 TEST_F(FlowControllerTest, ViewIsNotCurrentWhileTheStoreIsUnreachable)
 {
--- a/tests/core/flow/flowrouter_test.cpp
+++ b/tests/core/flow/flowrouter_test.cpp
@@ -287,6 +287,102 @@
     EXPECT_EQ(fixture.send(makeDataPacket(4, placed.cookie, 10)).reason, FlowReason::RouteRemoved);
 }
 
+// Open flows of a route that was added by a declaration which this balancer has not read yet, or
+// that was removed before this balancer started.
+class FlowMissingRoute : public ::testing::Test
+{
+protected:
+    FlowMissingRoute()
+    {
+        FlowRouterFixture opener(2);
+        opener.publish({makeEntry(1)});
+        m_cookie = opener.open(1).cookie;
+        auto routes = std::make_shared<RouteTable>(*fixture.routes);
+        routes->routes.erase(test::BoardRoute);
+        fixture.routes = routes;
+        fixture.publish({makeEntry(1)});
+    }
+
+    /// The flow that another balancer opened moves to this one, or sends its next request here.
+    FlowDecision sendRequest()
+    {
+        m_sequence += 10;
+        return fixture.send(makeDataPacket(1, m_cookie, 10, m_sequence));
+    }
+
+    /// A read of the declaration that began at @p begin has returned @p revision.
+    void confirm(std::uint64_t revision, Milliseconds begin)
+    {
+        fixture.router.handleDeclarationState({{revision}, {revision}, begin});
+    }
+
+    FlowRouterFixture fixture;
+
+private:
+    FlowCookie m_cookie;
+    std::uint32_t m_sequence = 1001;
+};
+
+// Guards against the reset of a live flow by a balancer that has not read the declaration under
+// which another one opened it.
+TEST_F(FlowMissingRoute, ContinuesByItsCookie)
+{
+    EXPECT_EQ(sendRequest().reason, FlowReason::Recovered);
+    fixture.now += 1_s;
+    EXPECT_EQ(sendRequest().reason, FlowReason::Established);
+    EXPECT_EQ(fixture.confirmationRequests, 2);
+}
+
+// Guards against a declaration that is taken for the current one although it was read, or
+// confirmed, before the flow came.
+TEST_F(FlowMissingRoute, ContinuesIfTheDeclarationWasConfirmedBefore)
+{
+    confirm(1, fixture.now);
+    EXPECT_EQ(sendRequest().action, FlowAction::Forward);
+    fixture.now += 1_s;
+    EXPECT_EQ(sendRequest().action, FlowAction::Forward);
+    confirm(2, fixture.now);
+    EXPECT_EQ(sendRequest().action, FlowAction::Forward) << "revision 2 is not in force yet";
+}
+
+// Guards against flows that outlive their route on a balancer that never knew the route.
+TEST_F(FlowMissingRoute, EndsOnceTheRouteIsKnownToBeRemoved)
+{
+    EXPECT_EQ(sendRequest().action, FlowAction::Forward);
+    confirm(1, fixture.now + 1_ms);
+    const FlowDecision decision = sendRequest();
+    EXPECT_EQ(decision.action, FlowAction::Reset);
+    EXPECT_EQ(decision.reason, FlowReason::RouteRemoved);
+    EXPECT_EQ(fixture.router.flowCount(), 0U);
+}
+
+// Guards against a read of the store for each packet of such flows.
+TEST_F(FlowMissingRoute, RequestsAReadAtALimitedRate)
+{
+    for (int i = 0; i < 100; ++i) {
+        sendRequest();
+        fixture.now += 10_ms;
+    }
+    EXPECT_EQ(fixture.confirmationRequests, 2) << "one each half second";
+}
+
+// Guards against the refusal of a flow to a new route, whose opening packet a copy will follow.
+TEST_F(FlowMissingRoute, IsNotRefusedWhileANewerDeclarationIsKnownToExist)
+{
+    fixture.router.handleDeclarationState({{2}, {}, {}});
+    const FlowDecision decision = fixture.send(makeOpeningPacket(2));
+    EXPECT_EQ(decision.action, FlowAction::Drop);
+    EXPECT_EQ(decision.reason, FlowReason::NoRouteUnconfirmed);
+}
+
+// Guards against the reset of an open flow by a late copy of its opening packet.
+TEST_F(FlowMissingRoute, IsNotResetByALateCopyOfItsOpeningPacket)
+{
+    sendRequest();
+    EXPECT_EQ(fixture.send(makeOpeningPacket(1, 1)).action, FlowAction::Drop);
+    EXPECT_EQ(sendRequest().action, FlowAction::Forward);
+}
+
 // Requests on open flows whose upstream has stopped responding.
 class FlowUnreachableUpstream : public ::testing::Test
 {
--- a/tests/support/flowfixture.h
+++ b/tests/support/flowfixture.h
@@ -78,7 +78,8 @@
                                  [this](const FlowPacket &, Milliseconds duration) {
                                      openings.push_back(duration);
                                  },
-                                 [this](UpstreamKey key, Endpoint) { probed.push_back(key); }})
+                                 [this](UpstreamKey key, Endpoint) { probed.push_back(key); },
+                                 [this] { ++confirmationRequests; }})
     {
     }
 
@@ -117,6 +118,8 @@
     std::vector<UpstreamKey> probed;
     std::vector<Milliseconds> answers;
     std::vector<Milliseconds> openings;
+    /// Reads of the declaration that the router has requested.
+    int confirmationRequests = 0;
     /// Random numbers that the router has drawn.
     int randomDraws = 0;
     FlowRouter router;
