Soak restarts, rolls and new routes in series

The stand-in client now judges a reset as the protocol says: an open flow takes it only if its number is within 76,800 of the last acknowledgment, and it is judged by the forwarder that sent it. Before, it took every reset and judged it by the last forwarder that the client had used. Upstreams draw their first sequence number instead of using 5000, which lay within that window.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -18,6 +18,7 @@
 import sys
 import tempfile
 import time
+import zlib
 
 from proxy import PacketLink, StreamProxy
 
@@ -31,6 +32,7 @@
 STABILITY_S = 4.0  # a disturbed process or link is not judged for this long afterwards
 CHECK_SLACK_S = 0.5  # the checks run in one process with everything else
 HEARTBEAT_S = 1.2
+RESET_WINDOW = 76800  # an open flow takes a reset whose number is this near to its last acknowledgment
 RECOVERY_SHARE = 0.9  # of the requests after the last fault must be served
 SYN, ACK, FIN, RST = 64, 1, 128, 32
 HEAD = struct.Struct("<IBBHHIIIIHI")  # sum flags pad dport sport src dst seq ack len echo
@@ -59,6 +61,8 @@
 class World:
     def __init__(self, options):
         self.random = random.Random(options.seed)
+        # Of its own, so that the faults of a seed are the same with and without series.
+        self.series_random = random.Random(f"series {options.seed}")
         self.options = options
         self.violations = []
         self.counts = {}
@@ -194,7 +198,8 @@
             "seq": self.sequence, "born": self.born})
 
     async def beat(self):
-        while self.is_alive:
+        born = self.born
+        while self.is_alive and self.born == born:
             self.register()
             await asyncio.sleep(HEARTBEAT_S * self.world.random.uniform(0.9, 1.1))
 
@@ -213,6 +218,18 @@
         await asyncio.sleep(3 * HEARTBEAT_S)
         self.store.write(self.key(), None)
 
+    async def restart(self, down_s):
+        """Ends without a sign and starts again under its id; holds nothing of before."""
+        self.disturbed_at = self.world.now()
+        self.end()
+        self.flows.clear()
+        await asyncio.sleep(down_s)
+        self.born += 1000
+        self.sequence = 0
+        self.is_alive = True
+        self.disturbed_at = self.world.now()
+        await self.start()
+
     def end(self):
         self.is_alive = False
         self.transport.close()
@@ -234,7 +251,7 @@
         forwarder = self.world.forwarders_by_address.get(address[0])
         if flags & SYN:
             self.check_opening(flow, forwarder)
-            self.flows.setdefault(flow, 5000)
+            self.flows.setdefault(flow, zlib.crc32(repr((flow, self.born)).encode()) >> 1)
             self.send(flow, SYN | ACK, self.flows[flow], seq + 1, b"", echo)
         elif flow not in self.flows:
             self.send(flow, RST, 0, seq, b"", echo, checksum=1)
@@ -386,7 +403,10 @@
             return
         if flags & RST:
             if checksum == 0:
-                self.check_reset(flow)
+                if flow["open"] and abs(seq - flow["ack"]) > RESET_WINDOW:
+                    self.world.count("resets out of the window")
+                    return
+                self.check_reset(flow, self.world.forwarders_by_address[address[0]])
             flow["reset"] = True
             flow["event"].set()
             return
@@ -402,27 +422,25 @@
             self.send(flow, ACK, b"")
         flow["event"].set()
 
-    def check_reset(self, flow):
+    def check_reset(self, flow, forwarder):
         """The system may reset an open flow only if its upstream cannot hold it any more."""
         world, now = self.world, self.world.now()
         upstream = world.upstreams_by_address.get(flow["upstream"])
         if not flow["open"]:
             removed = world.removed_at.get(flow["route"])
             added = world.added_at.get(flow["route"], 0.0)
-            forwarder = flow["via"]
             if removed is None and now - added > DECLARATION_LIMIT_S + CHECK_SLACK_S and \
                     forwarder.is_in_touch(now) and world.has_upstream(flow["route"]):
                 world.violate("declaration", f"reset of an opening to port {flow['route']}")
             return
         if upstream and upstream.is_alive and now - upstream.disturbed_at > STABILITY_S and \
-                flow["route"] not in world.removed_at and flow["via"].is_in_touch(now):
-            world.violate("flow", f"reset of an open flow at {upstream.key()} by {flow['via'].name}")
+                flow["route"] not in world.removed_at and forwarder.is_in_touch(now):
+            world.violate("flow", f"reset of an open flow at {upstream.key()} by {forwarder.name}")
 
     def send(self, flow, flags, body):
         forwarder = self.world.route(self.address, flow["port"])
         if forwarder is None:
             return
-        flow["via"] = forwarder
         copy = flow["copy"] if flags & SYN else flow["ack"]
         head = HEAD.pack(1, flags, 0, flow["route"], flow["port"], number(self.address),
                          number("198.18.0.1"), flow["seq"], copy, len(body),
@@ -433,7 +451,7 @@
         self.port = 1024 + (self.port - 1023) % 60000
         flow = {"port": self.port, "route": route, "seq": 1000, "ack": 0, "echo": 0, "copy": 0,
                 "open": False, "reset": False, "answer": None, "expected": None, "event": asyncio.Event(),
-                "upstream": None, "via": None, "opened": 0.0}
+                "upstream": None, "opened": 0.0}
         self.flows[flow["port"]] = flow
         for copy, wait in enumerate((0.2, 0.4, 0.8)):
             flow["copy"] = copy
@@ -486,6 +504,26 @@
                 self.close(flow)
                 flow = None
 
+    async def quiet_user(self, route):
+        """Pauses between two requests for longer than an upstream counts as disturbed."""
+        while not self.world.is_over:
+            flow = await self.open(route)
+            while flow["open"] and not self.world.is_over:
+                await asyncio.sleep(self.world.series_random.uniform(STABILITY_S + 0.5, 9))
+                if flow["reset"] or not await self.ask(flow):
+                    break
+            self.close(flow)
+            await asyncio.sleep(0.1)
+
+    async def visit(self, route):
+        """Opens a flow to a route that was just added and sends requests for about a second."""
+        flow = await self.open(route)
+        for _ in range(12):
+            if not flow["open"] or not await self.ask(flow):
+                break
+            await asyncio.sleep(self.world.series_random.uniform(0.05, 0.12))
+        self.close(flow)
+
     async def short_user(self, route):
         while not self.world.is_over:
             await asyncio.sleep(self.world.random.expovariate(4))
@@ -594,6 +632,38 @@
             asyncio.create_task(victim.leave() if kind == "leave" else victim.crash())
             await self.add_upstream(victim.service)
 
+    async def series(self):
+        """Planned work and restarts in series, beside the single faults and beside each other."""
+        while not self.is_over:
+            await asyncio.sleep(self.series_random.expovariate(1))
+            kind = self.series_random.choice(("roll", "restart upstreams", "add routes"))
+            self.count("series " + kind)
+            asyncio.create_task(self.one_series(kind))
+
+    async def one_series(self, kind):
+        draw = self.series_random
+        if kind == "roll":
+            for forwarder in draw.sample(self.forwarders, len(self.forwarders)):
+                forwarder.signal(signal.SIGTERM)
+                await asyncio.sleep(draw.uniform(0.3, 2))
+        elif kind == "restart upstreams":
+            ready = [u for u in self.upstreams if u.is_alive and u.state == "ready"]
+            for _ in range(draw.randrange(2, 6)):
+                victim = draw.choice(ready)
+                if victim.is_alive and victim.state == "ready":
+                    await victim.restart(draw.uniform(0.1, 0.8))
+                await asyncio.sleep(draw.uniform(0, 0.7))
+        else:
+            for _ in range(draw.randrange(3, 13)):
+                port = 10000 + len(self.all_routes)
+                self.routes[port] = "board"
+                self.all_routes[port] = {"board"}
+                self.declare()
+                self.added_at[port] = self.now()
+                for _ in range(20):
+                    asyncio.create_task(draw.choice(self.clients).visit(port))
+                await asyncio.sleep(0.33)
+
     async def end(self):
         """Ends the processes of this run, also after a failure of the soak itself: one that stays
         would join the next run with its addresses."""
@@ -609,25 +679,30 @@
             await forwarder.proxy.serve(ip(5, forwarder.index), STORE_PORT,
                                         (ip(4, forwarder.index), STORE_PORT))
         self.declare()
-        for service, count in (("board", 4), ("desk", 3)):
+        for service, count in (("board", self.options.upstreams), ("desk", 3)):
             for _ in range(count):
                 await self.add_upstream(service)
-        clients = [Client(self, i + 1) for i in range(4)]
+        self.clients = [Client(self, i + 1) for i in range(4)]
         for forwarder in self.forwarders:
             await forwarder.start()
-        for client in clients:
+        for client in self.clients:
             await client.start()
         await asyncio.sleep(2)
         users = []
-        for client in clients:
+        for client in self.clients:
             users += [client.long_user(443) for _ in range(6)] + [client.short_user(8443) for _ in range(2)]
             users += [client.short_user(443)]
+        if self.options.series:
+            users += [client.quiet_user(443) for client in self.clients for _ in range(20)]
         tasks = [asyncio.create_task(user) for user in users]
+        series = asyncio.create_task(self.series()) if self.options.series else None
         end = self.now() + self.options.seconds
         while self.now() < end:
             await asyncio.sleep(self.random.expovariate(1 / self.options.gap))
             await self.one_fault()
             self.last_fault = self.now()
+        if series:
+            series.cancel()
         await asyncio.sleep(8)
         recovered = self.now()
         await asyncio.sleep(4)
@@ -648,6 +723,9 @@
     parser.add_argument("--seconds", type=float, default=20, help="time with faults")
     parser.add_argument("--gap", type=float, default=0.8, help="mean time between faults in seconds")
     parser.add_argument("--forwarders", type=int, default=5)
+    parser.add_argument("--upstreams", type=int, default=4, help="of the service with most traffic")
+    parser.add_argument("--series", action="store_true",
+                        help="also restarts, rolls and new routes in series, which overlap")
     parser.add_argument("--network", type=int, default=81, help="second part of all addresses")
     options = parser.parse_args()
     global network
