Keep following the instance list beside an odd entry

Operators of similar systems reported that one entry of another writer ended the processes that read the list, or stopped them from following it. In damaskhall-balancer it did: PlatformClient::instances() failed as a whole if one entry could not be read, such as for a port out of range, so no balancer noticed upstreams that came or left. Negative and fractional numbers were converted silently, and a balancer's id was cut to 32 bits, so that it could name another balancer.

Such an entry is left out and counted (list_entry_refused); the others hold. All numbers are checked.

--- a/src/apps/balancerlog.cpp
+++ b/src/apps/balancerlog.cpp
@@ -29,6 +29,7 @@
         {LogLevel::Info, "Member suspected."},
         {LogLevel::Warn, "Member declared dead."},
         {LogLevel::Error, "Another process runs under this instance id."},
+        {LogLevel::Warn, "An entry of the platform's list cannot be read; the others hold."},
 }};
 
 LogLevel levelOf(ChangeOutcome outcome)
--- a/src/core/control/controlhooks.h
+++ b/src/core/control/controlhooks.h
@@ -23,8 +23,10 @@
     MemberDied,
     /// Another process runs under the own instance id.
     InstanceIdTaken,
+    /// An entry of the platform's list of instances could not be read; the others hold.
+    ListEntryRefused,
 };
-inline constexpr int ControlEventCount = 8;
+inline constexpr int ControlEventCount = 9;
 
 /// Callbacks that the control plane needs. Called on the thread that calls the control plane; all
 /// hooks must be set.
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -27,6 +27,7 @@
         "member_suspected",
         "member_died",
         "instance_id_taken",
+        "list_entry_refused",
 };
 
 constexpr std::array<std::string_view, CoreSampleCount> SampleMetrics = {
--- a/src/node/controlworker.cpp
+++ b/src/node/controlworker.cpp
@@ -263,7 +263,7 @@
         perform();
     }
 
-    void handleInstances(const Result<std::vector<PlatformInstance>> &list)
+    void handleInstances(const Result<PlatformInstanceList> &list)
     {
         if (!list) {
             plane.handlePlatformFailure(PlatformSchedule::Call::Instances, clock.now());
@@ -271,7 +271,11 @@
         }
         std::vector<ListedBalancer> balancers;
         std::vector<UpstreamUpdate> upstreams;
-        for (const PlatformInstance &instance : list.assume_value()) {
+        const std::vector<PlatformInstance> &instances = list.assume_value().instances;
+        for (std::size_t i = 0; i < list.assume_value().refused; ++i) {
+            hooks.countEvent(ControlEvent::ListEntryRefused);
+        }
+        for (const PlatformInstance &instance : instances) {
             if (instance.dataCentre != options.dataCentre) {
                 continue;
             }
@@ -285,8 +289,7 @@
                                      serviceId(instance.service), instance.isLeaving, 0});
             }
         }
-        plane.handleInstances(balancers, upstreams, list.assume_value().size(), clock.now(),
-                              actions);
+        plane.handleInstances(balancers, upstreams, instances.size(), clock.now(), actions);
         perform();
     }
 
--- a/src/platform/platformclient.cpp
+++ b/src/platform/platformclient.cpp
@@ -2,7 +2,9 @@
 
 #include "platform/httpclient.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 namespace damaskhall {
@@ -16,21 +18,38 @@
 constexpr long HttpConflict = 409;
 constexpr long HttpServerError = 500;
 
-Result<PlatformInstance> readInstance(const Json &json, const std::string &peer)
+/// Highest id of a balancer. Those of upstreams have 64 bits.
+constexpr std::uint64_t MaxBalancerId = std::numeric_limits<std::uint32_t>::max();
+
+// The JSON library would convert negative and fractional numbers without an error.
+std::optional<std::uint64_t> readUnsigned(const Json &json)
+{
+    return json.is_number_unsigned() ? std::optional(json.get<std::uint64_t>()) : std::nullopt;
+}
+
+// Returns nothing for an entry that names no instance.
+std::optional<PlatformInstance> readInstance(const Json &json)
 {
     try {
         PlatformInstance instance;
-        instance.id = json.at("id").get<std::uint64_t>();
         instance.role = json.at("role").get<std::string>();
         instance.dataCentre = json.at("data_centre").get<std::string>();
         instance.service = json.value("service", "");
-        instance.incarnation = json.value("incarnation", std::uint64_t{0});
         instance.isLeaving = json.value("state", "live") == "leaving";
-        BOOST_OUTCOME_TRY(endpoint, parseEndpoint(json.at("endpoint").get<std::string>()));
-        instance.endpoint = endpoint;
+        const auto id = readUnsigned(json.at("id"));
+        const auto incarnation = json.contains("incarnation") ? readUnsigned(json.at("incarnation"))
+                                                              : std::optional(std::uint64_t{0});
+        const auto endpoint = parseEndpoint(json.at("endpoint").get<std::string>());
+        if (!id || (instance.role == "balancer" && *id > MaxBalancerId) || !incarnation ||
+            !endpoint) {
+            return std::nullopt;
+        }
+        instance.id = *id;
+        instance.incarnation = *incarnation;
+        instance.endpoint = endpoint.assume_value();
         return instance;
-    } catch (const Json::exception &error) {
-        return Error{ErrorCode::Malformed, Step::ReadPlatform, peer, error.what()};
+    } catch (const Json::exception &) {
+        return std::nullopt;
     }
 }
 
@@ -114,7 +133,7 @@
     }
 }
 
-Result<std::vector<PlatformInstance>> PlatformClient::instances()
+Result<PlatformInstanceList> PlatformClient::instances()
 {
     constexpr Step Read = Step::ReadPlatform;
     BOOST_OUTCOME_TRY(reply, m_d->http.call(Read, HttpMethod::Get, "/instances", {}, m_d->timeout));
@@ -125,13 +144,16 @@
     if (!list.is_array()) {
         return Error{ErrorCode::Malformed, Read, m_d->http.peer(), "expected a JSON array"};
     }
-    std::vector<PlatformInstance> instances;
-    instances.reserve(list.size());
+    PlatformInstanceList read;
+    read.instances.reserve(list.size());
     for (const Json &entry : list) {
-        BOOST_OUTCOME_TRY(instance, readInstance(entry, m_d->http.peer()));
-        instances.push_back(std::move(instance));
+        if (auto instance = readInstance(entry)) {
+            read.instances.push_back(std::move(*instance));
+        } else {
+            ++read.refused;
+        }
     }
-    return instances;
+    return read;
 }
 
 Result<void> PlatformClient::registerInstance(const PlatformInstance &instance)
--- a/src/platform/platformclient.h
+++ b/src/platform/platformclient.h
@@ -4,6 +4,7 @@
 #include "base/milliseconds.h"
 #include "base/result.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -33,6 +34,14 @@
     bool isLeaving = false;
 };
 
+/// The platform's list of instances.
+struct PlatformInstanceList
+{
+    std::vector<PlatformInstance> instances;
+    /// Number of entries that cannot be read; the others hold.
+    std::size_t refused = 0;
+};
+
 /// Client of the platform's HTTP interface (libcurl). Calls block up to their timeout.
 /// Thread safety: one thread at a time.
 class PlatformClient
@@ -55,8 +64,9 @@
     Result<std::uint64_t> compareAndSwap(const std::string &key, const std::string &value,
                                          std::uint64_t expected);
 
-    /// Reads the list of instances. Errors: as read().
-    Result<std::vector<PlatformInstance>> instances();
+    /// Reads the list of instances. An entry that cannot be read does not fail the call. Errors: as
+    /// read().
+    Result<PlatformInstanceList> instances();
 
     /// Adds or refreshes an entry of the list. Errors: as read().
     Result<void> registerInstance(const PlatformInstance &instance);
--- a/standins/standin-fabric.cpp
+++ b/standins/standin-fabric.cpp
@@ -127,7 +127,7 @@
         while (!isStopping) {
             const auto instances = client.instances();
             if (instances) {
-                asio::post(context, [&fabric, list = balancersOf(instances.assume_value(),
+                asio::post(context, [&fabric, list = balancersOf(instances.assume_value().instances,
                                                                  dataCentre)]() mutable {
                     fabric.setBalancers(std::move(list));
                 });
--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -127,7 +127,7 @@
     PlatformClient client({Loopback, m_basePort}, 1_s);
     const bool areListed = waitFor([&] {
         const auto list = client.instances();
-        return list && list.assume_value().size() == m_upstreams.size();
+        return list && list.assume_value().instances.size() == m_upstreams.size();
     });
     for (int i = 0; i < balancers; ++i) {
         startBalancer(static_cast<int>(m_balancers.size()) + 1);
@@ -138,7 +138,8 @@
     }
     return areServing && waitFor([&] {
                const auto list = client.instances();
-               return list && list.assume_value().size() == m_upstreams.size() + m_balancers.size();
+               return list && list.assume_value().instances.size() ==
+                                      m_upstreams.size() + m_balancers.size();
            });
 }
 
