--- a/tests/usersplatform/storeclient_test.cpp
+++ b/tests/usersplatform/storeclient_test.cpp
@@ -73,6 +73,19 @@
             << lastRequestHead;
 }
 
+// Guards against starts that fail for good because a page of the list ends with a key that another
+// program wrote and that does not fit into a request line.
+TEST_F(StoreClientTest, EscapesTheKeyAfterWhichAPageBegins)
+{
+    response = RawServer::ok(R"({"items":[],"truncated":false,"as_of":530})");
+    StoreCall next;
+    next.pageAfter = "servers/a b&c#%\r\n\xc3\xa9-0a";
+    EXPECT_EQ(call(next).outcome, StoreOutcome::Done);
+    EXPECT_TRUE(lastRequestHead.starts_with(
+            "GET /v1/kv-range?prefix=&after=servers/a%20b%26c%23%25%0D%0A%C3%A9-0a HTTP/1.1"))
+            << lastRequestHead;
+}
+
 // Guards against a removal event that is decoded as an entry.
 TEST_F(StoreClientTest, ReadsChanges)
 {
