--- a/tests/processes/forwarder_test.cpp
+++ b/tests/processes/forwarder_test.cpp
@@ -230,6 +230,9 @@
     LoopbackSocket m_second;
     /// The store has an entry of the second upstream too; set before the program starts.
     bool m_hasSecond = false;
+    /// Entries among those of the upstreams that another program wrote; set before the program
+    /// starts.
+    std::vector<std::string> m_foreignEntries;
     Endpoint m_listen{Address, 7000};
     Endpoint m_status{Address, 7001};
     std::unique_ptr<Process> m_forwarder;
@@ -255,6 +258,10 @@
         }
         std::string items = std::string(R"({"key":"op/config","value":")") + Declaration +
                             R"(","revision":4},)" + item("0a0b", m_upstream, 5);
+        for (std::size_t i = 0; i < m_foreignEntries.size(); ++i) {
+            items += R"(,{"key":"servers/other-)" + std::to_string(i) + R"(","value":")" +
+                     base64(m_foreignEntries[i]) + R"(","revision":7})";
+        }
         if (m_hasSecond) {
             items += "," + item("0a0c", m_second, 6);
         }
@@ -314,6 +321,56 @@
     EXPECT_TRUE(awaitOutput("flow: reset reason=no_route ")) << output();
 }
 
+class ForeignEntryStory : public ForwarderStory
+{
+protected:
+    /// Memory of the smallest instances in KiB.
+    static constexpr int SmallestMemory = 80 * 1024;
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+    /// Sanitizers take a multiple of the program's memory.
+    static constexpr bool IsInstrumented = true;
+#else
+    static constexpr bool IsInstrumented = false;
+#endif
+
+    ForeignEntryStory()
+    {
+        // The largest value that the store takes.
+        const std::string nested(1'048'576, '[');
+        m_foreignEntries = {
+                nested,
+                R"({"service":"a","addr":"127.0.0.1:99999","zone":"east","version":"1",)"
+                R"("concurrency":2,"state":"ready","warmup_left_ms":0,"seq":1,)"
+                R"("born":1700000000000})",
+                R"({"service":"a","addr":"127.0.0.1:9","zone":"east","version":"1",)"
+                R"("concurrency":1e400,"state":"ready","warmup_left_ms":0,"seq":1,)"
+                R"("born":99999999999999999999999999})"};
+    }
+
+    /// Peak of the forwarder's resident memory in KiB.
+    int peakMemory() const
+    {
+        std::ifstream status("/proc/" + std::to_string(m_forwarder->id()) + "/status");
+        std::string word;
+        while (status >> word && word != "VmHWM:") {
+        }
+        int kilobytes = 0;
+        status >> kilobytes;
+        return kilobytes;
+    }
+};
+
+// Guards against processes that end, exceed their memory or no longer serve because another program
+// left odd entries among those of the upstreams.
+TEST_F(ForeignEntryStory, ServesBesideEntriesThatCannotBeRead)
+{
+    EXPECT_FALSE(open(4001).empty()) << output();
+    EXPECT_EQ(awaitMetric("damaskhall_store_mistakes_total 3"), "");
+    if (!IsInstrumented) {
+        EXPECT_LT(peakMemory(), SmallestMemory);
+    }
+}
+
 // Guards against flows that break when a forwarder is killed.
 TEST_F(ForwarderStory, FindsAFlowAgainAfterAKill)
 {
--- a/tests/processes/process.h
+++ b/tests/processes/process.h
@@ -17,6 +17,7 @@
     Process &operator=(Process &&other) noexcept;
     ~Process();
 
+    pid_t id() const { return m_pid; }
     void signal(int number) const;
     /// Waits for the end and returns the exit status, or -1 if it was killed by a signal or did
     /// not end within @p seconds.
--- a/tests/usersplatform/storedocuments_test.cpp
+++ b/tests/usersplatform/storedocuments_test.cpp
@@ -46,6 +46,9 @@
             entryWithReplacement("\"board\"", "7"),
             entryWithReplacement("10.128.0.9:8080", "10.128.0.9"),
             entryWithReplacement("10.128.0.9:8080", "host:80"),
+            entryWithReplacement("10.128.0.9:8080", "10.128.0.9:0"),
+            entryWithReplacement("10.128.0.9:8080", "10.128.0.9:65536"),
+            entryWithReplacement("10.128.0.9:8080", "10.128.0.9:99999999999999999999"),
             entryWithReplacement("\"concurrency\":2", "\"concurrency\":\"2\""),
             entryWithReplacement("\"concurrency\":2", "\"concurrency\":0"),
             entryWithReplacement("\"concurrency\":2", "\"concurrency\":-1"),
@@ -53,6 +56,8 @@
             entryWithReplacement("\"ready\"", "\"resting\""),
             entryWithReplacement("\"ready\"", "null"),
             entryWithReplacement("1700000000123", "1700000000123.5"),
+            entryWithReplacement("1700000000123", "99999999999999999999"),
+            entryWithReplacement("1700000000123", "1e400"),
             entryWithReplacement("1700000000123", "\"1700000000123\""),
             entryWithReplacement("\"katugastota\"", "{}"),
     };
@@ -65,6 +70,31 @@
     }
 }
 
+// Guards against processes that end for lack of memory while they read a deeply nested entry: each
+// level takes some 64 bytes, and a value may have a megabyte.
+TEST(UpstreamDocument, RejectsAnEntryThatIsTooLarge)
+{
+    constexpr std::size_t Levels = 500'000;
+    const std::string nested = std::string(Levels, '[') + std::string(Levels, ']');
+    for (const std::string &value :
+         {nested, std::string(2 * Levels, '['), entryWithReplacement("\"v1\"", nested)}) {
+        const auto content = decodeUpstream("servers/i-7f", value);
+        const auto *removal = std::get_if<UpstreamRemoval>(&content);
+        ASSERT_NE(removal, nullptr);
+        EXPECT_EQ(removal->mistake, "servers/i-7f: longer than 65536 bytes");
+    }
+}
+
+// Guards against log lines that are as long as what another writer has left in an entry.
+TEST(UpstreamDocument, QuotesTheBeginningOfALongValue)
+{
+    const std::string longText(10'000, 'x');
+    for (const char *field : {"10.128.0.9:8080", "ready"}) {
+        const auto content = decodeUpstream("servers/i-7f", entryWithReplacement(field, longText));
+        EXPECT_LT(std::get<UpstreamRemoval>(content).mistake.size(), 200U);
+    }
+}
+
 // Guards against accepting keys without a valid upstream id.
 TEST(UpstreamDocument, ParsesIdFromKey)
 {
