Refuse work only for a while before the first declaration

The cause is that of the flows of new routes: what is not known yet was taken for missing.

Router.RefusesWorkOnlyForAWhile- BeforeItsFirstDeclaration fails before the change and passes with it.

--- a/src/core/filterchain.cpp
+++ b/src/core/filterchain.cpp
@@ -9,6 +9,16 @@
 
 using Refused = std::optional<RefusalReason>;
 
+// A balancer that has just started cannot tell which services are declared. It knows no upstream
+// either, and this reason lets the caller come back.
+Refused filterDeclaration(const AdmissionContext &context)
+{
+    if (*context.view.declaration == Declaration{}) {
+        return RefusalReason::NoUpstream;
+    }
+    return std::nullopt;
+}
+
 Refused filterService(const AdmissionContext &context)
 {
     if (!context.view.declaration->findService(context.service)) {
@@ -75,6 +85,7 @@
 FilterChain FilterChain::forAdmission()
 {
     FilterChain chain;
+    chain.append(filterDeclaration);
     chain.append(filterService);
     chain.append(filterClass);
     chain.append(filterWorkspace);
--- a/src/core/filterchain.h
+++ b/src/core/filterchain.h
@@ -40,8 +40,8 @@
     /// Returns the first refusal, or nothing if all filters pass.
     std::optional<RefusalReason> run(const AdmissionContext &context) const;
 
-    /// Returns the chain for Open and Reserve: service, class, kind, workspace, deadline,
-    /// upstreams.
+    /// Returns the chain for Open and Reserve: declaration, service, class, kind, workspace,
+    /// deadline, upstreams.
     static FilterChain forAdmission();
 
 private:
--- a/tests/core/router_test.cpp
+++ b/tests/core/router_test.cpp
@@ -1,5 +1,6 @@
 #include "core/router.h"
 
+#include "client/retrypolicy.h"
 #include "support/workshop.h"
 
 #include <gtest/gtest.h>
@@ -30,5 +31,22 @@
     }
 }
 
+// Guards against work that is refused for good by a balancer that has just started and has no
+// declaration yet.
+TEST(Router, RefusesWorkOnlyForAWhileBeforeItsFirstDeclaration)
+{
+    constexpr Endpoint Caller{0x0a000001, 30'000};
+    CoreHooks hooks;
+    hooks.countRefusal = [](RefusalReason, ServiceId, ClassId) {};
+    Router router(InstanceId{1}, Incarnation{1}, hooks);
+    for (const Frame &frame : {Frame(claim(1, 1_s)), Frame(queueFeed(2))}) {
+        Actions actions;
+        router.handle(frame, Caller, 1_s, actions);
+        ASSERT_EQ(actions.size(), 1U);
+        const auto &refusal = std::get<Refusal>(actions[0].frame);
+        EXPECT_TRUE(isRetryable(refusal.reason)) << toString(refusal.reason);
+    }
+}
+
 } // namespace
 } // namespace damaskhall
