Do not read a flow after its removal

updateFlow() removes the flow when the client resets it, and filterUnreachable() read it afterwards (suspected by two reviews from reading). If the upstream was unreachable at that time, the client's own reset was answered with a reset instead of being forwarded, so the upstream kept the flow.

FlowUnreachableUpstream.ForwardsTheResetOfAClient fails before the change (action reset) and passes with it.

--- a/src/core/flow/flowrouter.cpp
+++ b/src/core/flow/flowrouter.cpp
@@ -402,6 +402,7 @@
     }
     if (packet.isReset) {
         m_flows.erase(packet.key);
+        context.flow = nullptr;
     } else if (packet.isClosing && flow.phase == FlowPhase::Open) {
         m_flows.setBusy(flow, false);
         m_flows.setPhase(flow, FlowPhase::Closing);
--- a/tests/core/flow/flowrouter_test.cpp
+++ b/tests/core/flow/flowrouter_test.cpp
@@ -512,6 +512,20 @@
             << "an expired result needs a new probe";
 }
 
+// Guards against a decision that is based on a flow after its removal: a client's own reset is
+// forwarded, so that the upstream removes the flow too.
+TEST_F(FlowUnreachableUpstream, ForwardsTheResetOfAClient)
+{
+    const FlowDecision second = fixture.open(2);
+    fixture.now += 100_ms;
+    fixture.send(makeDataPacket(1, flow.cookie, 100, 1101));
+    retransmit(200_ms);
+    EXPECT_FALSE(failProbes().empty());
+    FlowPacket reset = makeDataPacket(2, second.cookie, 100);
+    reset.isReset = true;
+    EXPECT_EQ(fixture.send(reset).action, FlowAction::Forward);
+}
+
 // Guards against answer times of many seconds when a flow returns from another balancer.
 TEST_F(FlowUnreachableUpstream, IgnoresAnswersAfterTheRouteTimeout)
 {
