Derive the owner of an address from what has been read, not its order

Cause: the owner of an address was the one with the newest revision. The store may execute a write of an ended upstream after its successor has registered, and any entry that could be decoded took its address over. The successor stayed replaced, as its own entry does not change any more.

Change: of the upstreams with one address, an entry in the store counts first, then the start time; one that started earlier is replaced. Only services that the declaration names take part. The states are derived again with each entry, removal and declaration. A replaced record with an entry is kept, so the count of entries no longer drifts. The version of the directory also changes with what is present, as peers are told of no other changes: the removal of a replaced entry was never sent to them.

--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -180,6 +180,7 @@
         return;
     }
     m_routes = declared.table;
+    m_directory.setDeclaredServices(m_routes->services());
     m_reader.setDeclaration(m_routes->revision);
     m_isDeclarationChanged = true;
     m_hooks.reportDeclaration(*m_routes);
--- a/src/core/flow/flowrouter.cpp
+++ b/src/core/flow/flowrouter.cpp
@@ -141,7 +141,7 @@
         return placeFlow(context, std::nullopt, context.now, FlowReason::Placed);
     }
     Flow &flow = *context.flow;
-    const UpstreamRecord *record = m_view->findCurrent(flow.upstream.id);
+    const UpstreamRecord *record = m_view->findHolder(flow.upstream);
     const UpstreamStats &stats = m_upstreamStats.at(flow.statsId);
     const bool mayServe = record && record->entry.service == stats.service &&
                           (record->health == UpstreamHealth::Ready ||
@@ -215,7 +215,7 @@
             m_flows.move(flow, accepted->entry);
         }
     }
-    const UpstreamRecord *record = m_view->findCurrent(flow.upstream.id);
+    const UpstreamRecord *record = m_view->findHolder(flow.upstream);
     if (const auto lost = filterReplacedUpstream(context, record)) {
         m_flows.erase(packet.key);
         return lost;
--- a/src/core/flow/flowview.cpp
+++ b/src/core/flow/flowview.cpp
@@ -85,17 +85,23 @@
     return found != m_records.end() && found->entry.key == key ? &*found : nullptr;
 }
 
+const UpstreamRecord *FlowView::findHolder(UpstreamKey key) const
+{
+    const UpstreamRecord *record = find(key);
+    return record && record->health != UpstreamHealth::Replaced ? record : findCurrent(key.id);
+}
+
 const UpstreamRecord *FlowView::findCurrent(UpstreamId id) const
 {
     auto found = std::lower_bound(m_records.begin(), m_records.end(), id,
                                   [](const UpstreamRecord &record, UpstreamId wanted) {
                                       return record.entry.key.id < wanted;
                                   });
+    // The states are in descending order: one with an entry goes before one without.
     const UpstreamRecord *current = nullptr;
     for (; found != m_records.end() && found->entry.key.id == id; ++found) {
-        current = &*found;
-        if (found->health != UpstreamHealth::Replaced) {
-            return current;
+        if (!current || found->health <= current->health) {
+            current = &*found;
         }
     }
     return current;
--- a/src/core/flow/flowview.h
+++ b/src/core/flow/flowview.h
@@ -38,7 +38,11 @@
 
     /// Returns the record of an upstream, or null.
     const UpstreamRecord *find(UpstreamKey key) const;
-    /// Returns the incarnation that runs under an id; if none does, the last one known, or null.
+    /// Returns the incarnation of an upstream that may hold flows of @p key: that one, unless it is
+    /// replaced, or the one that runs under its id. If none may, returns the last one known, or
+    /// null.
+    const UpstreamRecord *findHolder(UpstreamKey key) const;
+    /// Returns the incarnation that runs under an id. As findHolder() if none does.
     const UpstreamRecord *findCurrent(UpstreamId id) const;
     /// Returns the current incarnation of the upstream with @p cookie for flows of @p route, or
     /// null. If several upstreams have that cookie, one of a service that the route sends flows to
--- a/src/core/flow/routetable.cpp
+++ b/src/core/flow/routetable.cpp
@@ -16,6 +16,20 @@
     return found == serviceNames.end() ? "unknown" : found->second;
 }
 
+std::set<ServiceId> RouteTable::services() const
+{
+    std::set<ServiceId> services;
+    for (const auto &[id, name] : serviceNames) {
+        services.insert(id);
+    }
+    for (const auto &[address, route] : routes) {
+        for (const ServiceShare &share : route.shares) {
+            services.insert(share.service);
+        }
+    }
+    return services;
+}
+
 ServiceId chooseService(const Route &route, std::uint64_t random)
 {
     std::uint64_t total = 0;
--- a/src/core/flow/routetable.h
+++ b/src/core/flow/routetable.h
@@ -5,6 +5,7 @@
 #include "base/milliseconds.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -51,6 +52,8 @@
     const Route *find(Endpoint address) const;
     /// Returns the name of a service, or "unknown".
     std::string serviceName(ServiceId service) const;
+    /// Returns the services that are declared or to which a route leads.
+    std::set<ServiceId> services() const;
 };
 
 /// Chooses the service for a new flow: one of the route's shares, by weight.
--- a/src/core/flow/upstreamdirectory.cpp
+++ b/src/core/flow/upstreamdirectory.cpp
@@ -1,6 +1,8 @@
 #include "core/flow/upstreamdirectory.h"
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace damaskhall {
 
@@ -22,68 +24,116 @@
 void UpstreamDirectory::handleEntry(const UpstreamEntry &entry, Revision revision, Milliseconds now)
 {
     if (!advanceRevision(entry.key.id, revision)) {
+        handleOldEntry(entry);
         return;
     }
-    // The previous incarnation with this id and the previous owner of the address have ended.
     IdState &idState = m_idStates[entry.key.id];
-    if (idState.lastKey && *idState.lastKey != entry.key) {
-        markReplaced(*idState.lastKey, now);
-    }
-    const bool hasAddress = claimAddress(entry, revision, now);
-    idState.lastKey = entry.key;
+    const std::optional<UpstreamKey> previous = std::exchange(idState.lastKey, entry.key);
+    // Peers are told of changes of the version, and need each one that changes what is present.
+    m_version += idState.hasEntry && previous == entry.key ? 0 : 1;
     m_entryCount += idState.hasEntry ? 0 : 1;
     idState.hasEntry = true;
+    storeEntry(entry, now);
+    if (previous && *previous != entry.key) {
+        // The previous incarnation with this id has ended, unless this entry was written late.
+        markMissing(*previous,
+                    previous->born < entry.key.born ? UpstreamHealth::Replaced
+                                                    : UpstreamHealth::Gone,
+                    now);
+    }
+    updateAddress(entry.endpoint);
+}
+
+// An upstream that has announced that it is leaving stays in that state, whichever report arrives
+// first.
+void UpstreamDirectory::handleOldEntry(const UpstreamEntry &entry)
+{
+    if (!entry.isLeaving || !isPresent(entry.key)) {
+        return;
+    }
+    Record &record = m_records.at(entry.key);
+    if (!record.view.entry.isLeaving) {
+        record.view.entry.isLeaving = true;
+        record.ownHealth = UpstreamHealth::Leaving;
+        ++m_version;
+        updateAddress(record.view.entry.endpoint);
+    }
+}
 
+void UpstreamDirectory::storeEntry(const UpstreamEntry &entry, Milliseconds now)
+{
     const auto [found, isNew] = m_records.try_emplace(entry.key);
-    UpstreamRecord &view = found->second.view;
-    UpstreamRecord next{entry, UpstreamHealth::Ready, now + entry.warmupLeft};
+    Record &record = found->second;
+    UpstreamRecord next{entry, record.view.health, now + entry.warmupLeft};
     // The record stores the end of the warm-up instead, as the remaining time differs in each
     // heartbeat.
     next.entry.warmupLeft = 0_ms;
     if (!isNew) {
-        next.warmupEnd = view.warmupEnd;
-        // An incarnation that has announced that it is leaving stays in that state.
-        next.entry.isLeaving = entry.isLeaving || view.entry.isLeaving;
+        next.warmupEnd = record.view.warmupEnd;
+        next.entry.isLeaving = entry.isLeaving || record.view.entry.isLeaving;
     }
-    if (next.entry.isLeaving) {
-        next.health = UpstreamHealth::Leaving;
+    record.ownHealth = next.entry.isLeaving ? UpstreamHealth::Leaving : UpstreamHealth::Ready;
+    const Endpoint previousAddress = record.view.entry.endpoint;
+    if (isNew || next != record.view) {
+        record.view = next;
+        ++m_version;
     }
-    if (!hasAddress) {
-        next.health = UpstreamHealth::Replaced;
-        found->second.missingSince = now;
-        m_missing.insert(entry.key);
+    if (isNew) {
+        m_addresses[entry.endpoint].push_back(entry.key);
+    } else if (previousAddress != entry.endpoint) {
+        removeFromAddress(entry.key, previousAddress);
+        m_addresses[entry.endpoint].push_back(entry.key);
     }
-    if (isNew || next != view) {
-        view = next;
-        ++m_version;
+}
+
+void UpstreamDirectory::setDeclaredServices(std::set<ServiceId> services)
+{
+    if (m_declaredServices == services) {
+        return;
+    }
+    m_declaredServices = std::move(services);
+    for (const auto &[address, keys] : m_addresses) {
+        updateAddress(address);
     }
 }
 
-// Returns false if a newer report names another owner of the entry's address.
-bool UpstreamDirectory::claimAddress(const UpstreamEntry &entry, Revision revision,
-                                     Milliseconds now)
+// An upstream is replaced if another one with its address was started later: the states of the
+// others do not depend on which of the entries arrived first.
+void UpstreamDirectory::updateAddress(Endpoint address)
 {
-    const auto [found, isNew] =
-            m_addressOwners.try_emplace(entry.endpoint, AddressOwner{entry.key, revision});
-    AddressOwner &holder = found->second;
-    if (holder.key != entry.key) {
-        if (revision < holder.revision) {
-            return false;
-        }
-        markReplaced(holder.key, now);
+    const std::vector<UpstreamKey> &keys = m_addresses.at(address);
+    const std::optional<UpstreamKey> owner = ownerOf(keys);
+    for (const UpstreamKey key : keys) {
+        Record &record = m_records.at(key);
+        const bool isReplaced = owner && owner->id != key.id && owner->born > key.born;
+        setHealth(record, isReplaced ? UpstreamHealth::Replaced : record.ownHealth);
     }
-    holder = {entry.key, std::max(holder.revision, revision)};
-    return true;
 }
 
-void UpstreamDirectory::markReplaced(UpstreamKey key, Milliseconds now)
+// Returns the upstream that runs at the address of @p keys, if its service is declared. An entry in
+// the store counts more than a start time, which a stepped clock may have put too early.
+std::optional<UpstreamKey> UpstreamDirectory::ownerOf(const std::vector<UpstreamKey> &keys) const
 {
-    const auto found = m_records.find(key);
-    if (found != m_records.end() && found->second.view.health != UpstreamHealth::Replaced) {
-        found->second.missingSince = now;
-        m_missing.insert(key);
-        setHealth(found->second, UpstreamHealth::Replaced);
+    std::optional<UpstreamKey> owner;
+    const auto rank = [this](UpstreamKey key) {
+        return std::tuple(isPresent(key), key.born, key.id);
+    };
+    for (const UpstreamKey key : keys) {
+        if (isDeclared(m_records.at(key)) && (!owner || rank(*owner) < rank(key))) {
+            owner = key;
+        }
     }
+    return owner;
+}
+
+bool UpstreamDirectory::isDeclared(const Record &record) const
+{
+    return !m_declaredServices || m_declaredServices->contains(record.view.entry.service);
+}
+
+bool UpstreamDirectory::isPresent(UpstreamKey key) const
+{
+    return present(key.id) == key;
 }
 
 void UpstreamDirectory::handleRemoval(UpstreamId id, Revision revision, Milliseconds now)
@@ -96,11 +146,18 @@
 
 void UpstreamDirectory::removeEntry(IdState &idState, Milliseconds now)
 {
-    if (idState.hasEntry) {
-        idState.hasEntry = false;
-        --m_entryCount;
-        markMissing(*idState.lastKey, now);
+    if (!idState.hasEntry) {
+        return;
     }
+    idState.hasEntry = false;
+    --m_entryCount;
+    ++m_version;
+    const Record &record = m_records.at(*idState.lastKey);
+    const bool mayHaveExpired = record.ownHealth == UpstreamHealth::Ready;
+    markMissing(*idState.lastKey,
+                mayHaveExpired && isExpiryUnconfirmed(now) ? UpstreamHealth::Unconfirmed
+                                                           : UpstreamHealth::Gone,
+                now);
 }
 
 std::vector<UpstreamId> UpstreamDirectory::handleCompleteList(std::vector<UpstreamId> listed,
@@ -123,17 +180,16 @@
     return removed;
 }
 
-void UpstreamDirectory::markMissing(UpstreamKey key, Milliseconds now)
+void UpstreamDirectory::markMissing(UpstreamKey key, UpstreamHealth health, Milliseconds now)
 {
-    Record &record = m_records.at(key);
-    if (record.view.health == UpstreamHealth::Replaced) {
+    const auto found = m_records.find(key);
+    if (found == m_records.end()) {
         return;
     }
-    record.missingSince = now;
+    found->second.ownHealth = health;
+    found->second.missingSince = now;
     m_missing.insert(key);
-    const bool mayHaveExpired = record.view.health == UpstreamHealth::Ready;
-    setHealth(record, mayHaveExpired && isExpiryUnconfirmed(now) ? UpstreamHealth::Unconfirmed
-                                                                 : UpstreamHealth::Gone);
+    updateAddress(found->second.view.entry.endpoint);
 }
 
 void UpstreamDirectory::setHealth(Record &record, UpstreamHealth health)
@@ -168,34 +224,45 @@
     const bool isUnconfirmed = isExpiryUnconfirmed(now);
     for (auto it = m_missing.begin(); it != m_missing.end();) {
         Record &record = m_records.at(*it);
-        if (record.view.health == UpstreamHealth::Unconfirmed && !isUnconfirmed) {
-            setHealth(record, UpstreamHealth::Gone);
-        }
-        const UpstreamHealth health = record.view.health;
-        if (health == UpstreamHealth::Ready || health == UpstreamHealth::Leaving) {
+        if (isPresent(*it)) {
             // Its entry was written again.
             it = m_missing.erase(it);
-        } else if (health == UpstreamHealth::Unconfirmed ||
-                   now - record.missingSince < m_times.flowLifetime) {
+            continue;
+        }
+        if (record.ownHealth == UpstreamHealth::Unconfirmed && !isUnconfirmed) {
+            record.ownHealth = UpstreamHealth::Gone;
+            updateAddress(record.view.entry.endpoint);
+        }
+        if (record.ownHealth == UpstreamHealth::Unconfirmed ||
+            now - record.missingSince < m_times.flowLifetime) {
             ++it;
         } else {
-            ++m_version;
-            eraseIndexEntries(*it);
-            m_records.erase(*it);
+            eraseRecord(*it);
             it = m_missing.erase(it);
         }
     }
 }
 
-void UpstreamDirectory::eraseIndexEntries(UpstreamKey key)
+void UpstreamDirectory::eraseRecord(UpstreamKey key)
 {
     const auto idState = m_idStates.find(key.id);
     if (idState != m_idStates.end() && idState->second.lastKey == key) {
         m_idStates.erase(idState);
     }
-    const auto holder = m_addressOwners.find(m_records.at(key).view.entry.endpoint);
-    if (holder != m_addressOwners.end() && holder->second.key == key) {
-        m_addressOwners.erase(holder);
+    const Endpoint address = m_records.at(key).view.entry.endpoint;
+    m_records.erase(key);
+    ++m_version;
+    removeFromAddress(key, address);
+}
+
+void UpstreamDirectory::removeFromAddress(UpstreamKey key, Endpoint address)
+{
+    std::vector<UpstreamKey> &keys = m_addresses.at(address);
+    std::erase(keys, key);
+    if (keys.empty()) {
+        m_addresses.erase(address);
+    } else {
+        updateAddress(address);
     }
 }
 
--- a/src/core/flow/upstreamdirectory.h
+++ b/src/core/flow/upstreamdirectory.h
@@ -25,8 +25,11 @@
 
 /// Upstreams of all data centres, read from the platform's store by this instance or its peers.
 ///
-/// Reports about an entry are ordered by the store's revision, so a stale read or a late update
-/// never restores an older state. Deterministic. Thread safety: none.
+/// The states follow from what has been read, not from the order in which it arrived. Reports about
+/// one id are ordered by the store's revision, so a stale read or a late update never restores an
+/// older state. Upstreams with the same address are ordered by their start times: the store may
+/// execute a write of an ended upstream after its successor has registered. Deterministic. Thread
+/// safety: none.
 class UpstreamDirectory
 {
 public:
@@ -41,6 +44,9 @@
     /// Returns their ids.
     std::vector<UpstreamId> handleCompleteList(std::vector<UpstreamId> listed, Revision revision,
                                                Milliseconds now);
+    /// Sets the services that the declaration in force names. An entry of another service does not
+    /// take over the address that it names. Until the first call, every service counts as declared.
+    void setDeclaredServices(std::set<ServiceId> services);
 
     /// Marks the store as unreachable: an entry that expires from now on does not prove that its
     /// upstream is gone.
@@ -60,7 +66,7 @@
     const UpstreamRecord &record(UpstreamKey key) const { return m_records.at(key).view; }
     /// Returns the incarnation that the current entry of an id names, if there is one.
     std::optional<UpstreamKey> present(UpstreamId id) const;
-    /// Incremented with each change of records().
+    /// Incremented with each change of records() or of the set of entries().
     std::uint64_t version() const { return m_version; }
     /// True once a complete list has been processed.
     bool isComplete() const { return m_isComplete; }
@@ -69,6 +75,9 @@
     struct Record
     {
         UpstreamRecord view;
+        /// State according to the entries of its id alone; view.health also considers other
+        /// upstreams with the same address.
+        UpstreamHealth ownHealth = UpstreamHealth::Ready;
         Milliseconds missingSince;
     };
 
@@ -81,29 +90,29 @@
         bool hasEntry = false;
     };
 
-    /// The upstream that owns an address, and the revision of the newest report of it.
-    struct AddressOwner
-    {
-        UpstreamKey key;
-        Revision revision;
-    };
-
-    bool claimAddress(const UpstreamEntry &entry, Revision revision, Milliseconds now);
     bool advanceRevision(UpstreamId id, Revision revision);
-    void markReplaced(UpstreamKey key, Milliseconds now);
-    void eraseIndexEntries(UpstreamKey key);
+    void handleOldEntry(const UpstreamEntry &entry);
+    void storeEntry(const UpstreamEntry &entry, Milliseconds now);
     void removeEntry(IdState &idState, Milliseconds now);
-    void markMissing(UpstreamKey key, Milliseconds now);
+    void markMissing(UpstreamKey key, UpstreamHealth health, Milliseconds now);
+    void eraseRecord(UpstreamKey key);
+    void removeFromAddress(UpstreamKey key, Endpoint address);
+    void updateAddress(Endpoint address);
+    std::optional<UpstreamKey> ownerOf(const std::vector<UpstreamKey> &keys) const;
+    bool isDeclared(const Record &record) const;
+    bool isPresent(UpstreamKey key) const;
     void setHealth(Record &record, UpstreamHealth health);
     bool isExpiryUnconfirmed(Milliseconds now) const;
 
     DirectoryTimes m_times;
     std::map<UpstreamKey, Record> m_records;
-    /// Records that are, or were, neither ready nor leaving; no others change with time.
+    /// Records that have, or once had, no entry; no others change with time.
     std::set<UpstreamKey> m_missing;
     std::map<UpstreamId, IdState> m_idStates;
-    /// Last owner of each address.
-    std::unordered_map<Endpoint, AddressOwner> m_addressOwners;
+    /// Upstreams whose last entries name an address.
+    std::unordered_map<Endpoint, std::vector<UpstreamKey>> m_addresses;
+    /// Empty until the first declaration.
+    std::optional<std::set<ServiceId>> m_declaredServices;
     std::size_t m_entryCount = 0;
     std::uint64_t m_version = 1;
     bool m_isComplete = false;
--- a/tests/core/flow/flowcontroller_test.cpp
+++ b/tests/core/flow/flowcontroller_test.cpp
@@ -240,6 +240,18 @@
     EXPECT_EQ(controller.directory().records().size(), 1U);
 }
 
+// Guards against resets of live flows because an entry of another program names the address of an
+// upstream.
+TEST_F(FlowControllerTest, IgnoresEntriesOfServicesThatNoDeclarationNames)
+{
+    replyWithoutSnapshot();
+    UpstreamEntry foreign = makeEntry(2, 2000);
+    foreign.endpoint = makeEntry(1).endpoint;
+    foreign.service = ServiceId{99};
+    reply(done(50, {{{40}, makeEntry(1)}, {{41}, foreign}, declared(42, 3)}));
+    EXPECT_EQ(controller.directory().record(makeEntry(1).key).health, UpstreamHealth::Ready);
+}
+
 // Guards against new flows to an upstream that has begun to leave since the snapshot.
 TEST_F(FlowControllerTest, IsUsableAfterTheChangesSinceTheSnapshot)
 {
--- a/tests/core/flow/upstreamdirectory_test.cpp
+++ b/tests/core/flow/upstreamdirectory_test.cpp
@@ -113,6 +113,88 @@
     EXPECT_EQ(health(first), UpstreamHealth::Replaced);
 }
 
+// Guards against resets of live flows: the store may execute a write of an ended upstream after its
+// successor at the address has registered.
+TEST_F(UpstreamDirectoryTest, KeepsTheLaterProcessIfAnEarlierOneIsWrittenLate)
+{
+    UpstreamEntry successor = makeEntry(3, 3000);
+    successor.endpoint = first.endpoint;
+    directory.handleEntry(first, {5}, now);
+    directory.handleRemoval(first.key.id, {6}, now);
+    directory.handleEntry(successor, {7}, now);
+    directory.handleEntry(first, {8}, now);
+    EXPECT_EQ(health(successor), UpstreamHealth::Ready);
+    EXPECT_EQ(health(first), UpstreamHealth::Replaced) << "it gets no flows";
+    directory.handleRemoval(first.key.id, {9}, now);
+    EXPECT_EQ(health(successor), UpstreamHealth::Ready);
+}
+
+// Guards against resets of live flows of an upstream whose entry expired while it had no connection
+// to the store.
+TEST_F(UpstreamDirectoryTest, KeepsAnExpiredUpstreamIfAnEarlierOneIsWrittenLate)
+{
+    UpstreamEntry successor = makeEntry(3, 3000);
+    successor.endpoint = first.endpoint;
+    directory.handleEntry(successor, {7}, now);
+    directory.handleRemoval(successor.key.id, {8}, now);
+    directory.handleEntry(first, {9}, now);
+    EXPECT_EQ(health(successor), UpstreamHealth::Gone) << "its flows are still forwarded";
+}
+
+// Guards against an upstream that never gets flows because its clock was behind when it started.
+TEST_F(UpstreamDirectoryTest, UsesARegisteredUpstreamWhoseStartTimeIsTooEarly)
+{
+    UpstreamEntry successor = makeEntry(3, 500);
+    successor.endpoint = first.endpoint;
+    directory.handleEntry(first, {5}, now);
+    directory.handleEntry(successor, {6}, now);
+    EXPECT_EQ(health(successor), UpstreamHealth::Replaced) << "while both have an entry";
+    directory.handleRemoval(first.key.id, {7}, now);
+    EXPECT_EQ(health(successor), UpstreamHealth::Ready);
+    directory.tick(now + 120_s);
+    EXPECT_EQ(health(successor), UpstreamHealth::Ready);
+    EXPECT_EQ(directory.records().size(), 1U);
+}
+
+// Guards against resets of live flows because another program has registered a service of its own
+// on the same host.
+TEST_F(UpstreamDirectoryTest, IgnoresEntriesOfUndeclaredServicesAtAnAddress)
+{
+    UpstreamEntry foreign = makeEntry(3, 3000);
+    foreign.endpoint = first.endpoint;
+    foreign.service = ServiceId{99};
+    directory.handleEntry(first, {5}, now);
+    directory.handleEntry(foreign, {6}, now);
+    directory.setDeclaredServices({test::Board, test::Desk});
+    EXPECT_EQ(health(first), UpstreamHealth::Ready) << "the declaration may arrive later";
+    directory.setDeclaredServices({test::Board, ServiceId{99}});
+    EXPECT_EQ(health(first), UpstreamHealth::Replaced);
+    directory.setDeclaredServices({test::Board, test::Desk});
+    EXPECT_EQ(health(first), UpstreamHealth::Ready);
+}
+
+// Guards against new flows at a leaving upstream whose reports arrive in the wrong order.
+TEST_F(UpstreamDirectoryTest, KnowsALeavingUpstreamWhicheverReportArrivesFirst)
+{
+    directory.handleEntry(first, {6}, now);
+    directory.handleEntry(leaving(first), {5}, now);
+    EXPECT_EQ(health(first), UpstreamHealth::Leaving);
+}
+
+// Guards against needless snapshots because the count of entries drifts.
+TEST_F(UpstreamDirectoryTest, CountsAReplacedEntryUntilItIsRemoved)
+{
+    UpstreamEntry successor = makeEntry(3, 3000);
+    successor.endpoint = first.endpoint;
+    directory.handleEntry(first, {5}, now);
+    directory.handleEntry(successor, {6}, now);
+    directory.tick(now + 120_s);
+    EXPECT_EQ(directory.entryCount(), 2U);
+    EXPECT_EQ(directory.entries(now).size(), 2U);
+    directory.handleRemoval(first.key.id, {7}, now + 120_s);
+    EXPECT_EQ(directory.entryCount(), 1U);
+}
+
 // Guards against entries that remain in the directory after changes were lost.
 TEST_F(UpstreamDirectoryTest, RemovesEntriesMissingFromACompleteList)
 {
