--- a/tests/usersplatform/storedocuments_test.cpp
+++ b/tests/usersplatform/storedocuments_test.cpp
@@ -60,6 +60,12 @@
             entryWithReplacement("1700000000123", "1e400"),
             entryWithReplacement("1700000000123", "\"1700000000123\""),
             entryWithReplacement("\"katugastota\"", "{}"),
+            entryWithReplacement("\"v1\"", "1"),
+            entryWithReplacement("\"v1\"", "[\"v1\"]"),
+            entryWithReplacement(R"("version":"v1",)", ""),
+            entryWithReplacement("\"seq\":4", "\"seq\":true"),
+            entryWithReplacement("\"seq\":4", "\"seq\":-4"),
+            entryWithReplacement("\"seq\":4", "\"seq\":\"4\""),
     };
     for (const std::string &value : values) {
         const auto content = decodeUpstream("servers/i-7f", value);
