--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -179,6 +179,9 @@
     if (m_routes && declared.table->revision <= m_routes->revision) {
         return;
     }
+    if (!declared.mistake.empty()) {
+        m_hooks.reportInvalidItem(declared.mistake, revision);
+    }
     m_routes = declared.table;
     m_directory.setDeclaredServices(m_routes->services());
     m_reader.setDeclaration(m_routes->revision);
--- a/src/core/flow/storechange.h
+++ b/src/core/flow/storechange.h
@@ -22,6 +22,7 @@
 {
     /// Null if it cannot be decoded.
     std::shared_ptr<const RouteTable> table;
+    /// Why it cannot be decoded, or what in it is unknown; empty if there is nothing to report.
     std::string mistake;
 };
 
--- a/tests/core/flow/flowcontroller_test.cpp
+++ b/tests/core/flow/flowcontroller_test.cpp
@@ -107,6 +107,19 @@
     EXPECT_EQ(reportedUpstreams, 1);
 }
 
+// Guards against an unknown part of a declaration that nobody notices, or that is reported with
+// each reading.
+TEST_F(FlowControllerTest, ReportsAnUnknownPartOfADeclarationOnce)
+{
+    replyWithoutSnapshot();
+    const DeclaredRoutes partial{makeRoutes(3), "op/config: route 'r' has the unknown kind 'x'"};
+    reply(done(10, {{{7}, partial}}));
+    EXPECT_EQ(controller.revision(), Revision{3});
+    EXPECT_EQ(invalidItems, 1);
+    reply(done(12, {{{7}, partial}}));
+    EXPECT_EQ(invalidItems, 1);
+}
+
 // Guards against an older declaration that replaces a newer one.
 TEST_F(FlowControllerTest, AppliesOnlyNewerDeclarations)
 {
