Listen on an address of its own in the frame stream test

The test took the number of a UDP port that the system chose on 127.0.0.1 and assumed that it is free for TCP. Those ports are lent to any outgoing connection of the machine.

The checks are the same; a failure to listen now states its error.

--- a/tests/node/framestream_test.cpp
+++ b/tests/node/framestream_test.cpp
@@ -1,18 +1,16 @@
 #include "node/framestream.h"
 
-#include "io/udpport.h"
-
 #include "wire/framecodec.h"
 #include "wire/streamframing.h"
 
+#include <cstdint>
 #include <gtest/gtest.h>
+#include <unistd.h>
 #include <vector>
 
 namespace damaskhall {
 namespace {
 
-constexpr std::uint32_t Loopback = 0x7f000001;
-
 // Guards against messages that are merged, truncated or lost when reads do not match writes.
 TEST(StreamReader, SplitsStreamIntoMessages)
 {
@@ -48,10 +46,10 @@
 {
     asio::io_context context;
     std::string atServer;
-    // The port number of a UDP socket that the system chose is free for TCP as well.
-    const auto reserved = UdpPort::open(context, {Loopback, 0}, [](std::string_view, Endpoint) {});
-    ASSERT_TRUE(reserved.has_value());
-    const Endpoint local = reserved.assume_value()->local();
+    // On an address of its own no other process has a port. Those of 127.0.0.1 are also lent to any
+    // outgoing connection of the machine.
+    const auto process = static_cast<std::uint32_t>(getpid()) & 0xffffU;
+    const Endpoint local{0x7f000000U | process << 8 | 240U, 7300};
     auto listener = FrameListener::open(context, local, [&](FrameStream *stream) {
         FrameStream::Handlers handlers;
         handlers.received = [&atServer, stream](std::string_view message) {
@@ -61,7 +59,7 @@
         handlers.closed = [] {};
         return handlers;
     });
-    ASSERT_TRUE(listener.has_value());
+    ASSERT_TRUE(listener.has_value()) << toString(listener.assume_error());
 
     std::string atClient;
     bool isClosed = false;
