--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 measure: build
 	$(BUILD)/bin/damaskhall-measure $(if $(SEED),--seed $(SEED)) $(if $(QUICK),--quick)
 
-# SEEDS="1 2 3" and SOAK_SECONDS choose the runs beside the regression seeds.
+# SEEDS="1 2 3", SOAK_SECONDS and SOAK_OPTIONS="--series" choose the runs beside the regression seeds.
 soak: build
 	soak/run.sh $(BUILD)
 
