--- a/tests/core/flow/addressownership_test.cpp
+++ b/tests/core/flow/addressownership_test.cpp
@@ -117,7 +117,6 @@
 
     /// Processes that run, by address.
     const std::map<std::uint64_t, UpstreamEntry> &running() const { return m_running; }
-    Revision revision() const { return {m_revision}; }
 
     std::vector<StoreChange> changes;
     /// Incarnations that started at their address with a clock that was behind.
--- a/tests/usersplatform/storedocuments_test.cpp
+++ b/tests/usersplatform/storedocuments_test.cpp
@@ -77,7 +77,7 @@
 }
 
 // Guards against processes that end for lack of memory while they read a deeply nested entry: each
-// level takes some 64 bytes, and a value may have a megabyte.
+// level takes some 70 bytes, and a value may have a megabyte.
 TEST(UpstreamDocument, RejectsAnEntryThatIsTooLarge)
 {
     constexpr std::size_t Levels = 500'000;
