Log and count when the platform's store returns from an older copy

The store of the users' platform may return from a copy that lacks its last changes. Its revisions go back and are assigned again, and the number in the header Store-Era rises. Neither a log line nor a counter showed that: a declaration that was missed because its revision had been passed before looked the same as one that the store never had.

HttpChannel returns the headers of a response. StoreClient reads the era of each one, refusals included; a header that is no number counts as none. FlowController reports a higher era once, with the revision known before and the one that the store reports now, and the counter damaskhall_store_restorations_total rises. Nothing is decided by it yet.

--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -51,6 +51,7 @@
     }
     m_reader.handleCallResult(reply.outcome, asOf, reply.nextPage, now);
     reportStoreReachability(reply.detail, now);
+    reportStoreEra(reply, known);
     if (kind == StoreCall::Kind::SaveSnapshot) {
         m_hooks.reportSnapshot(reply.outcome, reply.detail, m_reader.revision());
         return;
@@ -319,6 +320,16 @@
     m_hooks.reportStore(isUnreachable, detail);
 }
 
+void FlowController::reportStoreEra(const StoreReply &reply, Revision known)
+{
+    if (!reply.era || (m_storeEra && *reply.era <= *m_storeEra)) {
+        return;
+    }
+    if (std::exchange(m_storeEra, reply.era)) {
+        m_hooks.reportStoreEra(*reply.era, known, reply.asOf);
+    }
+}
+
 void FlowController::tick(Milliseconds now)
 {
     m_directory.tick(now);
--- a/src/core/flow/flowcontroller.h
+++ b/src/core/flow/flowcontroller.h
@@ -4,6 +4,7 @@
 #include "core/flow/declarationstate.h"
 #include "core/flow/flowview.h"
 #include "core/flow/gaprecovery.h"
+#include "core/flow/storeera.h"
 #include "core/flow/storereader.h"
 #include "core/flow/upstreamdirectory.h"
 
@@ -19,6 +20,8 @@
 struct StoreReply
 {
     StoreOutcome outcome = StoreOutcome::Unanswered;
+    /// Era of the store that answered; empty if there is no response or it names none.
+    std::optional<StoreEra> era;
     Revision asOf;
     std::vector<StoreChange> changes;
     /// Result of a Snapshot call; empty if the store has no snapshot.
@@ -40,6 +43,9 @@
     std::function<void(const RouteTable &)> reportDeclaration;
     std::function<void(const std::string &mistake, Revision)> reportInvalidItem;
     std::function<void(bool isUnreachable, const std::string &detail)> reportStore;
+    /// Called when the store has returned from an older copy. @p known: revision up to which this
+    /// instance knew the changes before; @p current: revision that the store reports now.
+    std::function<void(StoreEra era, Revision known, Revision current)> reportStoreEra;
     /// Called when the directory is complete. @p call is the call that completed it: List, or Watch
     /// after a snapshot.
     std::function<void(StoreCall::Kind call, std::size_t upstreams, Revision)> reportDirectory;
@@ -114,6 +120,7 @@
     void applyDeclaration(const DeclaredRoutes &declared, Revision revision);
     void confirmDeclaration(const StoreReply &reply);
     void reportStoreReachability(const std::string &detail, Milliseconds now);
+    void reportStoreEra(const StoreReply &reply, Revision known);
     bool isCurrent(Milliseconds now) const;
     void reportUpstream(UpstreamKey key, Revision revision);
     void fillHead(DirectoryUpdate &update, Milliseconds now) const;
@@ -129,6 +136,8 @@
     /// Ids seen in the list being read or in the snapshot.
     std::vector<UpstreamId> m_listedIds;
     bool m_wasStoreUnreachable = false;
+    /// Highest era that the store has named.
+    std::optional<StoreEra> m_storeEra;
     bool m_isDeclarationChanged = false;
     bool m_wasCurrent = false;
     std::uint64_t m_viewVersion = 0;
--- a/src/forwarder/forwardertelemetry.cpp
+++ b/src/forwarder/forwardertelemetry.cpp
@@ -148,6 +148,7 @@
     Milliseconds nextControlTrafficLine;
     std::uint64_t invalidItems = 0;
     std::uint64_t storeLosses = 0;
+    std::uint64_t storeRestorations = 0;
     std::uint64_t peerDecodeErrors = 0;
     std::uint64_t probesSucceeded = 0;
     std::uint64_t probesFailed = 0;
@@ -229,6 +230,13 @@
                    isUnreachable ? "The store was lost." : "The store is back.",
                    {{"detail", detail}});
     };
+    hooks.reportStoreEra = [d = m_d.get()](StoreEra era, Revision known, Revision current) {
+        ++d->storeRestorations;
+        d->log.log(LogLevel::Warn, "store", "The store has returned from an older copy.",
+                   {{"era", std::to_string(era.value)},
+                    {"known_revision", std::to_string(known.value)},
+                    {"store_revision", std::to_string(current.value)}});
+    };
     return hooks;
 }
 
@@ -352,6 +360,7 @@
          << (confirmedAt ? (now - *confirmedAt).value : now.value) << "\n"
          << "damaskhall_store_away " << (input.controller.isStoreUnreachable() ? 1 : 0) << "\n"
          << "damaskhall_store_losses_total " << m_d->storeLosses << "\n"
+         << "damaskhall_store_restorations_total " << m_d->storeRestorations << "\n"
          << "damaskhall_store_mistakes_total " << m_d->invalidItems << "\n";
     for (const auto &[call, count] : m_d->storeCallCounts) {
         text << "damaskhall_store_calls_total{call=\"" << toString(call.first) << "\",outcome=\""
--- a/src/io/httpchannel.cpp
+++ b/src/io/httpchannel.cpp
@@ -6,6 +6,7 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <cctype>
 #include <chrono>
 #include <http_parser.h>
 #include <utility>
@@ -33,6 +34,22 @@
         , timer(ioContext)
     {
         http_parser_settings_init(&settings);
+        // The parser passes names and values in parts.
+        settings.on_header_field = [](http_parser *raw, const char *at, std::size_t length) {
+            auto *self = static_cast<Private *>(raw->data);
+            if (!self->isInHeaderName) {
+                self->reply.headers.emplace_back();
+                self->isInHeaderName = true;
+            }
+            self->reply.headers.back().name.append(at, length);
+            return 0;
+        };
+        settings.on_header_value = [](http_parser *raw, const char *at, std::size_t length) {
+            auto *self = static_cast<Private *>(raw->data);
+            self->isInHeaderName = false;
+            self->reply.headers.back().value.append(at, length);
+            return 0;
+        };
         settings.on_body = [](http_parser *raw, const char *at, std::size_t length) {
             auto *self = static_cast<Private *>(raw->data);
             self->reply.body.append(at, length);
@@ -49,6 +66,7 @@
     {
         handler = std::move(done);
         reply = {};
+        isInHeaderName = false;
         isComplete = false;
         http_parser_init(&parser, HTTP_RESPONSE);
         parser.data = this;
@@ -188,6 +206,8 @@
     http_parser parser{};
     Handler handler;
     HttpChannelReply reply;
+    /// The last part of a header that was received belongs to its name.
+    bool isInHeaderName = false;
     bool isComplete = false;
     std::string output;
     std::array<char, ReadBufferBytes> buffer{};
@@ -195,6 +215,21 @@
     std::uint64_t attempt = 0;
 };
 
+std::optional<std::string_view> HttpChannelReply::header(std::string_view name) const
+{
+    const auto isSameLetter = [](char a, char b) {
+        return std::tolower(static_cast<unsigned char>(a)) ==
+               std::tolower(static_cast<unsigned char>(b));
+    };
+    for (const Header &header : headers) {
+        if (std::equal(header.name.begin(), header.name.end(), name.begin(), name.end(),
+                       isSameLetter)) {
+            return header.value;
+        }
+    }
+    return std::nullopt;
+}
+
 HttpChannel::HttpChannel(asio::io_context &context, Endpoint server, Step step)
     : m_d(std::make_shared<Private>(context, server, step))
 {
--- a/src/io/httpchannel.h
+++ b/src/io/httpchannel.h
@@ -6,7 +6,10 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include <asio/io_context.hpp>
 
@@ -25,7 +28,18 @@
 
 struct HttpChannelReply
 {
+    struct Header
+    {
+        std::string name;
+        std::string value;
+    };
+
+    /// Returns the value of the first header with this name, in any case, or nothing.
+    std::optional<std::string_view> header(std::string_view name) const;
+
     unsigned status = 0;
+    /// In the order in which they were received.
+    std::vector<Header> headers;
     std::string body;
 };
 
--- a/tests/core/flow/flowcontroller_test.cpp
+++ b/tests/core/flow/flowcontroller_test.cpp
@@ -26,6 +26,7 @@
         hooks.reportDeclaration = [](const RouteTable &) {};
         hooks.reportInvalidItem = [this](const std::string &, Revision) { ++invalidItems; };
         hooks.reportStore = [](bool, const std::string &) {};
+        hooks.reportStoreEra = [this](StoreEra, Revision, Revision) { ++reportedEras; };
         hooks.reportDirectory = [](StoreCall::Kind, std::size_t, Revision) {};
         hooks.reportSnapshot = [](StoreOutcome, const std::string &, Revision) {};
         return hooks;
@@ -75,6 +76,7 @@
 
     int invalidItems = 0;
     int reportedUpstreams = 0;
+    int reportedEras = 0;
     Milliseconds now = 1_s;
     FlowController controller{{}, makeHooks()};
 };
@@ -107,6 +109,22 @@
     EXPECT_EQ(reportedUpstreams, 1);
 }
 
+// Guards against a restored store that leaves no trace in the log.
+TEST_F(FlowControllerTest, ReportsOnceThatTheStoreWasRestored)
+{
+    const auto replyOfEra = [this](StoreEra era, std::uint64_t asOf) {
+        StoreReply answer = done(asOf);
+        answer.era = era;
+        reply(answer);
+    };
+    replyOfEra({1}, 0);
+    replyOfEra({1}, 10);
+    EXPECT_EQ(reportedEras, 0) << "the first era";
+    replyOfEra({2}, 8);
+    replyOfEra({2}, 9);
+    EXPECT_EQ(reportedEras, 1);
+}
+
 // Guards against an unknown part of a declaration that nobody notices, or that is reported with
 // each reading.
 TEST_F(FlowControllerTest, ReportsAnUnknownPartOfADeclarationOnce)
--- a/tests/io/httpchannel_test.cpp
+++ b/tests/io/httpchannel_test.cpp
@@ -52,6 +52,23 @@
     EXPECT_TRUE(lastHead.starts_with("GET /path?x=1 HTTP/1.1\r\n")) << lastHead;
 }
 
+// Guards against a header that is lost because its name has other letters, or because the answer
+// arrives in parts.
+TEST_F(HttpChannelTest, ReturnsHeaders)
+{
+    answer = RawServer::ok("hello", "503 Busy", "X-First: 1\r\nstore-ERA: 12\r\nX-Empty:\r\n");
+    server.sendSlowly(5, std::chrono::milliseconds(1));
+    const auto reply = call(channel);
+    ASSERT_TRUE(reply) << toString(reply.assume_error());
+    EXPECT_EQ(reply.assume_value().header("Store-Era"), "12");
+    EXPECT_EQ(reply.assume_value().header("X-Empty"), "");
+    EXPECT_EQ(reply.assume_value().header("Store"), std::nullopt);
+    answer = RawServer::ok("hello");
+    const auto next = call(channel);
+    ASSERT_TRUE(next) << toString(next.assume_error());
+    EXPECT_EQ(next.assume_value().header("Store-Era"), std::nullopt) << "of the answer before";
+}
+
 // Guards against a connection that lost an answer and stays silent for good.
 TEST_F(HttpChannelTest, OpensANewConnectionAfterATimeout)
 {
--- a/tests/support/peercluster.h
+++ b/tests/support/peercluster.h
@@ -50,6 +50,7 @@
         hooks.reportDeclaration = [](const RouteTable &) {};
         hooks.reportInvalidItem = [](const std::string &, Revision) {};
         hooks.reportStore = [](bool, const std::string &) {};
+        hooks.reportStoreEra = [](StoreEra, Revision, Revision) {};
         hooks.reportDirectory = [](StoreCall::Kind, std::size_t, Revision) {};
         hooks.reportSnapshot = [](StoreOutcome, const std::string &, Revision) {};
         FlowController::Times times;
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -53,11 +53,12 @@
         m_pause = pause;
     }
 
-    /// Returns an answer with @p body.
-    static std::string ok(const std::string &body, const std::string &status = "200 OK")
+    /// Returns an answer with @p body. @p headers: further header lines, each with its line end.
+    static std::string ok(const std::string &body, const std::string &status = "200 OK",
+                          const std::string &headers = "")
     {
-        return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) +
-               "\r\n\r\n" + body;
+        return "HTTP/1.1 " + status + "\r\n" + headers +
+               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
 private:
--- a/tests/usersplatform/storeclient_test.cpp
+++ b/tests/usersplatform/storeclient_test.cpp
@@ -178,6 +178,31 @@
     }
 }
 
+// Guards against a restored store that is not noticed, also while it refuses calls.
+TEST_F(StoreClientTest, ReadsTheEraOfEachResponse)
+{
+    response = RawServer::ok(R"({"events":[],"as_of":9})", "200 OK", "Store-Era: 3\r\n");
+    EXPECT_EQ(call(watch(1)).era, StoreEra{3});
+    for (const char *status : {"410 Gone", "503 Busy", "429 Many", "404 Not Found"}) {
+        response = RawServer::ok("{}", status, "Store-Era: 4\r\n");
+        EXPECT_EQ(call(watch(1)).era, StoreEra{4}) << status;
+    }
+}
+
+// Guards against an era that is made up from a header of another form.
+TEST_F(StoreClientTest, IgnoresAnEraThatIsNoNumber)
+{
+    for (const char *value : {"", "x", "3x", "-1", "99999999999999999999"}) {
+        response = RawServer::ok(R"({"events":[],"as_of":9})", "200 OK",
+                                 std::string("Store-Era: ") + value + "\r\n");
+        const StoreReply reply = call(watch(1));
+        EXPECT_EQ(reply.outcome, StoreOutcome::Done) << value;
+        EXPECT_EQ(reply.era, std::nullopt) << value;
+    }
+    response = RawServer::ok(R"({"events":[],"as_of":9})");
+    EXPECT_EQ(call(watch(1)).era, std::nullopt);
+}
+
 // Guards against decoding the instances' own snapshot key as an upstream entry.
 TEST_F(StoreClientTest, DetectsSavedSnapshot)
 {
