Show that changes are missed after the store returns from a copy

PeerCluster's store can return from the copy that it had at a revision: what was written since is gone, and its revisions are assigned again.

--- a/tests/support/peercluster.h
+++ b/tests/support/peercluster.h
@@ -21,8 +21,8 @@
 inline constexpr Milliseconds StoreDelay = 8_ms;
 
 /// Forwarders that share the reading of one store, in virtual time. The store keeps every change
-/// until discardHistory(), and its revision increases continuously, as through the heartbeats of
-/// upstreams. Deterministic for a seed. Thread safety: none.
+/// until discardHistory() or restore(), and its revision increases continuously, as through the
+/// heartbeats of upstreams. Deterministic for a seed. Thread safety: none.
 class PeerCluster
 {
 public:
@@ -104,6 +104,19 @@
     /// The store forgets all changes up to now; only lists return what they led to.
     void discardHistory() { m_historyStart = m_revision; }
 
+    /// The store returns from the copy that it had at @p revision, and gives out the revisions
+    /// after it again. Precondition: discardHistory() has not been called since that revision.
+    void restore(Revision revision)
+    {
+        std::erase_if(m_changes,
+                      [&](const StoreChange &change) { return change.revision > revision; });
+        m_revision = revision.value;
+        ++m_era.value;
+    }
+
+    /// Current revision of the store.
+    Revision revision() const { return {m_revision}; }
+
     bool isUp(int index) const { return m_nodes[static_cast<std::size_t>(index)].isUp; }
     int size() const { return static_cast<int>(m_nodes.size()); }
 
@@ -228,7 +241,9 @@
             reply.outcome = StoreOutcome::Refused;
             return reply;
         }
-        if (call.kind == StoreCall::Kind::Watch && call.after.value < m_historyStart) {
+        reply.era = m_era;
+        if (call.kind == StoreCall::Kind::Watch &&
+            (call.after.value < m_historyStart || call.after.value > m_revision)) {
             reply.outcome = StoreOutcome::HistoryLost;
             return reply;
         }
@@ -306,6 +321,7 @@
     std::vector<StoreChange> m_changes;
     std::uint64_t m_revision = 1;
     std::uint64_t m_historyStart = 0;
+    StoreEra m_era{1};
 };
 
 } // namespace damaskhall::test
