--- a/src/core/flow/changelog.cpp
+++ b/src/core/flow/changelog.cpp
@@ -10,7 +10,7 @@
 /// Covers several watch intervals in which every upstream of a large service is replaced.
 constexpr std::size_t MaxLoggedChanges = 1024;
 
-bool isAfter(Revision revision, const StoreChange &change)
+bool isAfter(StoreRevision revision, const StoreChange &change)
 {
     return revision < change.revision;
 }
@@ -28,13 +28,13 @@
     }
 }
 
-void ChangeLog::restart(Revision revision)
+void ChangeLog::restart(StoreRevision revision)
 {
     m_changes.clear();
     m_start = revision;
 }
 
-std::vector<DirectoryUpdate> ChangeLog::updatesSince(Revision known, Revision to) const
+std::vector<DirectoryUpdate> ChangeLog::updatesSince(StoreRevision known, StoreRevision to) const
 {
     std::vector<DirectoryUpdate> updates(1);
     updates.back().from = known;
@@ -55,7 +55,7 @@
     return updates;
 }
 
-DirectoryUpdate ChangeLog::latest(Revision to) const
+DirectoryUpdate ChangeLog::latest(StoreRevision to) const
 {
     DirectoryUpdate update;
     update.from = m_start;
--- a/src/core/flow/changelog.h
+++ b/src/core/flow/changelog.h
@@ -17,21 +17,21 @@
     /// not than start().
     void record(const StoreChange &change);
     /// Drops all changes. From now on, the log contains all changes after @p revision.
-    void restart(Revision revision);
+    void restart(StoreRevision revision);
 
     /// The log contains all changes after this revision.
-    Revision start() const { return m_start; }
+    StoreRevision start() const { return m_start; }
     /// Returns the changes after @p known and up to @p to as consecutive updates that each fit into
     /// a datagram; a single update without changes if there are none. Only the fields from, to and
     /// changes are set. Precondition: start() <= @p known <= @p to.
-    std::vector<DirectoryUpdate> updatesSince(Revision known, Revision to) const;
+    std::vector<DirectoryUpdate> updatesSince(StoreRevision known, StoreRevision to) const;
     /// Returns the changes up to @p to that fit into one datagram, newest first kept. Only the
     /// fields from, to and changes are set. Precondition: start() <= @p to.
-    DirectoryUpdate latest(Revision to) const;
+    DirectoryUpdate latest(StoreRevision to) const;
 
 private:
     std::deque<StoreChange> m_changes;
-    Revision m_start;
+    StoreRevision m_start;
 };
 
 } // namespace damaskhall
--- a/src/core/flow/changesrequest.h
+++ b/src/core/flow/changesrequest.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/endpoint.h"
-#include "base/ids.h"
+#include "core/flow/storerevision.h"
 
 #include <optional>
 
@@ -12,7 +12,7 @@
 struct ChangesRequest
 {
     /// The sender knows all changes up to this revision of the store.
-    Revision known;
+    StoreRevision known;
 
     bool operator==(const ChangesRequest &) const = default;
 };
--- a/src/core/flow/directoryupdate.h
+++ b/src/core/flow/directoryupdate.h
@@ -23,9 +23,9 @@
     /// trying to read the store without success.
     Milliseconds age;
     /// The update contains all changes of upstreams after this revision of the store ...
-    Revision from;
-    /// ... up to this one.
-    Revision to;
+    StoreRevision from;
+    /// ... up to this one, which is of the same era, as are the changes.
+    StoreRevision to;
     /// Revision of the newest declaration known to the origin.
     Revision declaration;
     /// Upstream entries and removals only.
--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -13,6 +13,13 @@
 /// Share of a link that the answer to one request for changes may take: some 40 KB.
 constexpr std::size_t MaxAnswerUpdates = 40;
 
+// A snapshot of an earlier era may name a revision that the store has assigned again since: changes
+// after it would not include those that the snapshot lacks.
+bool hasUsableSnapshot(const StoreReply &reply)
+{
+    return reply.snapshot && reply.snapshot->to.era == reply.asOf.era;
+}
+
 } // namespace
 
 FlowController::FlowController(Times times, FlowControllerHooks hooks)
@@ -44,19 +51,22 @@
 {
     const StoreCall::Kind kind = m_reader.lastCall();
     const bool wasFollowing = m_reader.isFollowing();
-    const Revision known = m_reader.revision();
-    Revision asOf = reply.asOf;
+    const StoreRevision known = m_reader.revision();
+    StoreRevision asOf = reply.asOf;
     if (kind == StoreCall::Kind::Snapshot) {
-        asOf = reply.snapshot ? reply.snapshot->to : Revision{};
+        asOf.value = hasUsableSnapshot(reply) ? reply.snapshot->to.value : 0;
     }
-    m_reader.handleCallResult(reply.outcome, asOf, reply.nextPage, now);
+    const StoreOutcome outcome =
+            m_reader.handleCallResult(reply.outcome, asOf, reply.nextPage, now);
     reportStoreReachability(reply.detail, now);
-    reportStoreEra(reply, known);
+    if (m_reader.revision().era > known.era) {
+        handleNewEra(known, reply.asOf, now);
+    }
     if (kind == StoreCall::Kind::SaveSnapshot) {
-        m_hooks.reportSnapshot(reply.outcome, reply.detail, m_reader.revision());
+        m_hooks.reportSnapshot(outcome, reply.detail, known);
         return;
     }
-    if (reply.outcome != StoreOutcome::Done) {
+    if (outcome != StoreOutcome::Done) {
         return;
     }
     if (kind == StoreCall::Kind::Snapshot) {
@@ -80,7 +90,7 @@
         }
     }
     if (m_reader.isCurrentDeclarationRead()) {
-        confirmDeclaration(reply);
+        confirmDeclaration(reply, now);
     }
     handleKnownRevision();
     m_hasPendingUpdate = m_hasPendingUpdate ||
@@ -94,7 +104,7 @@
     if (!reply.detail.empty()) {
         m_hooks.reportInvalidItem(reply.detail, reply.asOf);
     }
-    if (!reply.snapshot) {
+    if (!hasUsableSnapshot(reply)) {
         return;
     }
     m_listedIds.clear();
@@ -113,7 +123,8 @@
     }
 }
 
-void FlowController::completeDirectory(StoreCall::Kind kind, Revision revision, Milliseconds now)
+void FlowController::completeDirectory(StoreCall::Kind kind, StoreRevision revision,
+                                       Milliseconds now)
 {
     m_hooks.reportDirectory(kind, m_listedIds.size(), revision);
     const bool wasComplete = m_directory.isComplete();
@@ -121,8 +132,9 @@
             m_directory.handleCompleteList(std::exchange(m_listedIds, {}), revision, now);
     // Peers need the difference to what was known before the list, which is small, and not the
     // list.
-    const bool isDifferenceKnown =
-            wasComplete && kind == StoreCall::Kind::List && removed.size() <= MaxImpliedRemovals;
+    const bool isDifferenceKnown = wasComplete && kind == StoreCall::Kind::List &&
+                                   removed.size() <= MaxImpliedRemovals &&
+                                   m_changeLog.start().era == revision.era;
     if (!isDifferenceKnown) {
         m_changeLog.restart(revision);
         return;
@@ -138,7 +150,7 @@
     if (const auto *entry = std::get_if<UpstreamEntry>(&change.content)) {
         m_directory.handleEntry(*entry, change.revision, now);
         if (m_directory.version() != version) {
-            m_changeLog.record(change);
+            recordChange(change);
             reportUpstream(entry->key, change.revision);
         }
         return;
@@ -150,7 +162,7 @@
         const auto key = m_directory.present(removal->id);
         m_directory.handleRemoval(removal->id, change.revision, now);
         if (key && m_directory.version() != version) {
-            m_changeLog.record(change);
+            recordChange(change);
             reportUpstream(*key, change.revision);
         }
         return;
@@ -162,8 +174,16 @@
     applyDeclaration(std::get<DeclaredRoutes>(change.content), change.revision);
 }
 
+// The log is of one era; a change of a later one that a peer reports is not part of it.
+void FlowController::recordChange(const StoreChange &change)
+{
+    if (change.revision.era == m_reader.revision().era) {
+        m_changeLog.record(change);
+    }
+}
+
 // The first list is reported as a whole, by reportDirectory.
-void FlowController::reportUpstream(UpstreamKey key, Revision revision)
+void FlowController::reportUpstream(UpstreamKey key, StoreRevision revision)
 {
     if (m_directory.isComplete()) {
         m_hooks.reportUpstream(m_directory.record(key), revision);
@@ -171,7 +191,7 @@
 }
 
 // A declaration is applied as a whole, and only if it is newer than the one in force.
-void FlowController::applyDeclaration(const DeclaredRoutes &declared, Revision revision)
+void FlowController::applyDeclaration(const DeclaredRoutes &declared, StoreRevision revision)
 {
     if (!declared.table) {
         m_hooks.reportInvalidItem(declared.mistake, revision);
@@ -190,9 +210,13 @@
     m_hooks.reportDeclaration(*m_routes);
 }
 
-// A declaration that cannot be decoded confirms nothing: it may contain any route.
-void FlowController::confirmDeclaration(const StoreReply &reply)
+// A declaration that cannot be decoded confirms nothing: it may contain any route. Neither does one
+// of a restored copy: operators may write a later one again.
+void FlowController::confirmDeclaration(const StoreReply &reply, Milliseconds now)
 {
+    if (isRestorationRecent(now)) {
+        return;
+    }
     for (const StoreChange &change : reply.changes) {
         const auto *declared = std::get_if<DeclaredRoutes>(&change.content);
         if (declared && declared->table && declared->table->revision == revision()) {
@@ -222,10 +246,15 @@
                                            Milliseconds now)
 {
     m_reader.requestDeclaration(update.declaration);
-    if (!m_reader.isFollowing() || update.to < m_reader.revision()) {
+    const StoreRevision known = m_reader.revision();
+    if (update.to < known) {
         return;
     }
-    if (m_reader.revision() < update.from) {
+    if (update.to.era > known.era || !m_reader.isFollowing()) {
+        applyAhead(update, now);
+        return;
+    }
+    if (known < update.from) {
         const auto maxDelay =
                 static_cast<std::uint64_t>(m_times.reader.confirmationInterval.value / 2) + 1;
         const Milliseconds readDelay{
@@ -233,18 +262,35 @@
         m_gap.open(update.to, sender, readDelay, now);
         return;
     }
-    // Changes up to the known revision are already applied, and newer ones may have superseded
-    // them.
-    const Revision known = m_reader.revision();
     m_reader.handleDirectoryUpdate(update.to, now - update.age, now);
     m_distributed = std::max(m_distributed, update.to);
     reportStoreReachability("update from a peer", now);
+    applyChanges(update, known, now);
+    handleKnownRevision();
+}
+
+// Applies an update of a new era, or before a lost history has been read again. What it says holds
+// whatever else has changed: an upstream that is leaving gets no new flows, even if the store does
+// not serve this instance.
+void FlowController::applyAhead(const DirectoryUpdate &update, Milliseconds now)
+{
+    if (m_directory.isComplete()) {
+        applyChanges(update, m_reader.revision(), now);
+    }
+    if (update.to.era > m_reader.revision().era) {
+        m_reader.handleNewEraReport(now);
+    }
+}
+
+// Changes up to the known revision are already applied, and newer ones may have superseded them.
+void FlowController::applyChanges(const DirectoryUpdate &update, StoreRevision known,
+                                  Milliseconds now)
+{
     for (const StoreChange &change : update.changes) {
         if (change.revision > known) {
             applyChange(change, now);
         }
     }
-    handleKnownRevision();
 }
 
 std::optional<SendChangesRequest> FlowController::takeChangesRequest(Milliseconds now)
@@ -266,7 +312,7 @@
 std::vector<DirectoryUpdate> FlowController::answerChangesRequest(const ChangesRequest &request,
                                                                   Milliseconds now) const
 {
-    const Revision known = m_reader.revision();
+    const StoreRevision known = m_reader.revision();
     if (!m_reader.isFollowing() || request.known < m_changeLog.start() || request.known > known) {
         return {};
     }
@@ -290,11 +336,11 @@
     if ((!std::exchange(m_hasPendingUpdate, false) && !isOutage) || !m_reader.isFollowing()) {
         return {};
     }
-    const Revision known = m_reader.revision();
+    const StoreRevision known = m_reader.revision();
     std::vector<DirectoryUpdate> updates = {m_changeLog.latest(known)};
     // The latest changes are repeated, so that a lost datagram costs nothing. If they do not reach
     // back to what the peers know, all changes since are sent.
-    const Revision distributed = std::max(m_distributed, m_changeLog.start());
+    const StoreRevision distributed = std::max(m_distributed, m_changeLog.start());
     if (updates.front().from > distributed) {
         updates = m_changeLog.updatesSince(distributed, known);
     }
@@ -320,14 +366,22 @@
     m_hooks.reportStore(isUnreachable, detail);
 }
 
-void FlowController::reportStoreEra(const StoreReply &reply, Revision known)
+// What upstreams and operators have written since the copy is written again, so nothing that is
+// missing proves anything for a while.
+void FlowController::handleNewEra(StoreRevision known, StoreRevision current, Milliseconds now)
 {
-    if (!reply.era || (m_storeEra && *reply.era <= *m_storeEra)) {
+    if (known == StoreRevision{}) {
+        // The first response of the store.
         return;
     }
-    if (std::exchange(m_storeEra, reply.era)) {
-        m_hooks.reportStoreEra(*reply.era, known, reply.asOf);
-    }
+    m_restoredAt = now;
+    m_directory.handleStoreRestored(now);
+    m_hooks.reportStoreEra(known, current);
+}
+
+bool FlowController::isRestorationRecent(Milliseconds now) const
+{
+    return m_restoredAt && now - *m_restoredAt < m_times.directory.confirmation;
 }
 
 void FlowController::tick(Milliseconds now)
@@ -348,7 +402,7 @@
 bool FlowController::isCurrent(Milliseconds now) const
 {
     const auto confirmed = m_reader.confirmedAt();
-    return confirmed && now - *confirmed < m_times.confirmation;
+    return confirmed && now - *confirmed < m_times.confirmation && !isRestorationRecent(now);
 }
 
 std::shared_ptr<const FlowView> FlowController::takeView(Milliseconds now)
--- a/src/core/flow/flowcontroller.h
+++ b/src/core/flow/flowcontroller.h
@@ -4,7 +4,6 @@
 #include "core/flow/declarationstate.h"
 #include "core/flow/flowview.h"
 #include "core/flow/gaprecovery.h"
-#include "core/flow/storeera.h"
 #include "core/flow/storereader.h"
 #include "core/flow/upstreamdirectory.h"
 
@@ -20,9 +19,9 @@
 struct StoreReply
 {
     StoreOutcome outcome = StoreOutcome::Unanswered;
-    /// Era of the store that answered; empty if there is no response or it names none.
-    std::optional<StoreEra> era;
-    Revision asOf;
+    /// Revision that the response reflects; its value is zero if the response names none. The era
+    /// is that of the call if the response names none, and all items are of the same one.
+    StoreRevision asOf;
     std::vector<StoreChange> changes;
     /// Result of a Snapshot call; empty if the store has no snapshot.
     std::optional<DirectoryUpdate> snapshot;
@@ -39,18 +38,18 @@
 struct FlowControllerHooks
 {
     RandomSource random;
-    std::function<void(const UpstreamRecord &, Revision)> reportUpstream;
+    std::function<void(const UpstreamRecord &, StoreRevision)> reportUpstream;
     std::function<void(const RouteTable &)> reportDeclaration;
-    std::function<void(const std::string &mistake, Revision)> reportInvalidItem;
+    std::function<void(const std::string &mistake, StoreRevision)> reportInvalidItem;
     std::function<void(bool isUnreachable, const std::string &detail)> reportStore;
     /// Called when the store has returned from an older copy. @p known: revision up to which this
     /// instance knew the changes before; @p current: revision that the store reports now.
-    std::function<void(StoreEra era, Revision known, Revision current)> reportStoreEra;
+    std::function<void(StoreRevision known, StoreRevision current)> reportStoreEra;
     /// Called when the directory is complete. @p call is the call that completed it: List, or Watch
     /// after a snapshot.
-    std::function<void(StoreCall::Kind call, std::size_t upstreams, Revision)> reportDirectory;
+    std::function<void(StoreCall::Kind call, std::size_t upstreams, StoreRevision)> reportDirectory;
     /// Called with the result of an attempt to save a snapshot.
-    std::function<void(StoreOutcome, const std::string &detail, Revision)> reportSnapshot;
+    std::function<void(StoreOutcome, const std::string &detail, StoreRevision)> reportSnapshot;
 };
 
 /// Control state of one balancer: the declaration and the upstream directory, read from the
@@ -116,13 +115,17 @@
     void applyItems(const std::vector<StoreChange> &items, Milliseconds now);
     /// Takes the ids seen so far as the complete list. @p kind: the call that completed it; @p
     /// revision: revision of the listed items.
-    void completeDirectory(StoreCall::Kind kind, Revision revision, Milliseconds now);
-    void applyDeclaration(const DeclaredRoutes &declared, Revision revision);
-    void confirmDeclaration(const StoreReply &reply);
+    void completeDirectory(StoreCall::Kind kind, StoreRevision revision, Milliseconds now);
+    void applyDeclaration(const DeclaredRoutes &declared, StoreRevision revision);
+    void confirmDeclaration(const StoreReply &reply, Milliseconds now);
     void reportStoreReachability(const std::string &detail, Milliseconds now);
-    void reportStoreEra(const StoreReply &reply, Revision known);
+    void applyAhead(const DirectoryUpdate &update, Milliseconds now);
+    void applyChanges(const DirectoryUpdate &update, StoreRevision known, Milliseconds now);
+    void handleNewEra(StoreRevision known, StoreRevision current, Milliseconds now);
+    void recordChange(const StoreChange &change);
+    bool isRestorationRecent(Milliseconds now) const;
     bool isCurrent(Milliseconds now) const;
-    void reportUpstream(UpstreamKey key, Revision revision);
+    void reportUpstream(UpstreamKey key, StoreRevision revision);
     void fillHead(DirectoryUpdate &update, Milliseconds now) const;
     void handleKnownRevision();
 
@@ -136,15 +139,15 @@
     /// Ids seen in the list being read or in the snapshot.
     std::vector<UpstreamId> m_listedIds;
     bool m_wasStoreUnreachable = false;
-    /// Highest era that the store has named.
-    std::optional<StoreEra> m_storeEra;
+    /// When this instance learned that the store has been restored.
+    std::optional<Milliseconds> m_restoredAt;
     bool m_isDeclarationChanged = false;
     bool m_wasCurrent = false;
     std::uint64_t m_viewVersion = 0;
     ChangeLog m_changeLog;
     GapRecovery m_gap;
     /// All peers have been sent the changes up to this revision.
-    Revision m_distributed;
+    StoreRevision m_distributed;
     bool m_hasPendingUpdate = false;
 };
 
--- a/src/core/flow/gaprecovery.cpp
+++ b/src/core/flow/gaprecovery.cpp
@@ -12,7 +12,8 @@
 
 } // namespace
 
-void GapRecovery::open(Revision missing, Endpoint sender, Milliseconds readDelay, Milliseconds now)
+void GapRecovery::open(StoreRevision missing, Endpoint sender, Milliseconds readDelay,
+                       Milliseconds now)
 {
     if (m_isOpen) {
         m_missing = std::max(m_missing, missing);
@@ -26,7 +27,7 @@
     m_due = now;
 }
 
-void GapRecovery::handleKnown(Revision known)
+void GapRecovery::handleKnown(StoreRevision known)
 {
     if (known >= m_missing) {
         m_isOpen = false;
--- a/src/core/flow/gaprecovery.h
+++ b/src/core/flow/gaprecovery.h
@@ -30,9 +30,9 @@
     /// Notes that changes up to @p missing are not known; @p sender sent the update that showed it.
     /// @p readDelay: additional wait before the store is read. It should be random, so that the
     /// first instance that reads can inform the others.
-    void open(Revision missing, Endpoint sender, Milliseconds readDelay, Milliseconds now);
+    void open(StoreRevision missing, Endpoint sender, Milliseconds readDelay, Milliseconds now);
     /// Notes that all changes up to @p known are known.
-    void handleKnown(Revision known);
+    void handleKnown(StoreRevision known);
     /// Returns the step that is due. Each step is returned once.
     Step next(Milliseconds now);
 
@@ -42,7 +42,7 @@
 
 private:
     bool m_isOpen = false;
-    Revision m_missing;
+    StoreRevision m_missing;
     Endpoint m_sender;
     Milliseconds m_readDelay;
     std::uint32_t m_requests = 0;
--- a/src/core/flow/storechange.h
+++ b/src/core/flow/storechange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/flow/routetable.h"
+#include "core/flow/storerevision.h"
 #include "core/flow/upstreamentry.h"
 
 #include <memory>
@@ -36,7 +37,7 @@
 /// An item of the store as written at a revision.
 struct StoreChange
 {
-    Revision revision;
+    StoreRevision revision;
     StoreContent content;
 };
 
--- a/src/core/flow/storereader.cpp
+++ b/src/core/flow/storereader.cpp
@@ -83,6 +83,8 @@
         return "new_declaration";
     case StoreCall::Reason::RouteMissing:
         return "route_missing";
+    case StoreCall::Reason::NewEra:
+        return "new_era";
     case StoreCall::Reason::SnapshotDue:
         break;
     }
@@ -117,6 +119,7 @@
         return std::nullopt;
     }
     StoreCall call;
+    call.after.era = m_after.era;
     const bool isDeclarationDue = isFollowing() && (m_isCurrentDeclarationRequested ||
                                                     m_requestedDeclaration > m_declaration);
     if (!isDeclarationDue && !isSnapshotDue(now) && isCoveredByPeers(now)) {
@@ -206,63 +209,97 @@
                     Milliseconds{static_cast<std::int64_t>(randomBelow(m_random, spread))};
 }
 
-void StoreReader::handleCallResult(StoreOutcome outcome, Revision asOf,
-                                   std::optional<std::string> nextPage, Milliseconds now)
+StoreOutcome StoreReader::handleCallResult(StoreOutcome outcome, StoreRevision asOf,
+                                           std::optional<std::string> nextPage, Milliseconds now)
 {
     m_isPending = false;
+    if (asOf.era < m_after.era) {
+        // The response was sent before the store was restored.
+        outcome = StoreOutcome::Unanswered;
+    }
+    const bool isNewEra = asOf.era > m_after.era && beginEra(asOf.era);
     if (m_kind == StoreCall::Kind::SaveSnapshot) {
         // After a refusal another instance may save it; reading has priority.
         handleSnapshotSaved(now);
-        if (outcome != StoreOutcome::Unanswered) {
-            return;
+        if (outcome != StoreOutcome::Unanswered && !isNewEra) {
+            return outcome;
         }
     }
     if (outcome == StoreOutcome::Refused || outcome == StoreOutcome::Unanswered) {
-        const Milliseconds delay = std::min(
-                InitialRetryDelay * (1 << std::min(m_failures, MaxDelayDoublings)), MaxRetryDelay);
-        const auto jitter = randomBelow(m_random, static_cast<std::uint64_t>(delay.value));
-        m_due = now + delay / 2 + Milliseconds{static_cast<std::int64_t>(jitter)};
-        ++m_failures;
-        m_isCurrentDeclarationRequested =
-                m_isCurrentDeclarationRequested || isCurrentDeclarationRead();
-        return;
+        handleFailure(now);
+        return outcome;
     }
     m_failures = 0;
     m_hasOutageNotice = false;
     m_due = now;
+    if (isNewEra) {
+        return StoreOutcome::HistoryLost;
+    }
     if (m_kind == StoreCall::Kind::Declaration) {
         // If it was stale or cannot be decoded, it is requested again after a delay.
         m_due = now + InitialRetryDelay;
-        return;
+        return outcome;
     }
     if (m_kind == StoreCall::Kind::Snapshot) {
-        if (asOf != Revision{}) {
-            m_isLarge = true;
-            m_phase = Phase::CatchUp;
-            m_after = asOf;
-            m_listRevision.reset();
-            m_page.clear();
-        } else if (m_page.empty()) {
-            m_phase = Phase::List;
-        } else {
-            drawListing(now);
-        }
-        return;
+        handleSnapshot(asOf, now);
+        return outcome;
     }
     m_confirmedAt = now;
     if (outcome == StoreOutcome::HistoryLost) {
         // A snapshot whose following changes are lost is not requested a second time.
-        m_phase = m_phase == Phase::CatchUp ? Phase::List : Phase::Snapshot;
-        m_listRevision.reset();
-        m_page.clear();
-        return;
-    }
-    if (m_kind == StoreCall::Kind::Watch) {
+        restartReading(m_phase == Phase::CatchUp ? Phase::List : Phase::Snapshot);
+    } else if (m_kind == StoreCall::Kind::Watch) {
         const bool isCaughtUp = m_phase == Phase::CatchUp;
         beginFollowing(std::max(m_after, asOf), now);
         m_due = isCaughtUp ? now : std::max(now, m_startedAt + m_times.watchInterval);
-        return;
+    } else {
+        handlePage(asOf, std::move(nextPage), now);
     }
+    return outcome;
+}
+
+// Returns true if what has been read before is of an earlier era.
+bool StoreReader::beginEra(StoreEra era)
+{
+    const bool hasRead = m_phase != Phase::Snapshot || m_listRevision;
+    m_after = {0, era};
+    restartReading(Phase::Snapshot);
+    return hasRead;
+}
+
+void StoreReader::restartReading(Phase phase)
+{
+    m_phase = phase;
+    m_listRevision.reset();
+    m_page.clear();
+}
+
+void StoreReader::handleFailure(Milliseconds now)
+{
+    const Milliseconds delay = std::min(
+            InitialRetryDelay * (1 << std::min(m_failures, MaxDelayDoublings)), MaxRetryDelay);
+    const auto jitter = randomBelow(m_random, static_cast<std::uint64_t>(delay.value));
+    m_due = now + delay / 2 + Milliseconds{static_cast<std::int64_t>(jitter)};
+    ++m_failures;
+    m_isCurrentDeclarationRequested = m_isCurrentDeclarationRequested || isCurrentDeclarationRead();
+}
+
+void StoreReader::handleSnapshot(StoreRevision revision, Milliseconds now)
+{
+    if (revision.value != 0) {
+        m_isLarge = true;
+        m_after = revision;
+        restartReading(Phase::CatchUp);
+    } else if (m_page.empty()) {
+        m_phase = Phase::List;
+    } else {
+        drawListing(now);
+    }
+}
+
+void StoreReader::handlePage(StoreRevision asOf, std::optional<std::string> nextPage,
+                             Milliseconds now)
+{
     const bool isOnlyPage = !m_listRevision && !nextPage;
     m_listRevision = m_listRevision ? *m_listRevision : asOf;
     if (nextPage) {
@@ -298,7 +335,7 @@
     m_due = now + ListDrawInterval;
 }
 
-void StoreReader::beginFollowing(Revision revision, Milliseconds now)
+void StoreReader::beginFollowing(StoreRevision revision, Milliseconds now)
 {
     m_listDraws = 0;
     m_after = revision;
@@ -342,7 +379,8 @@
     return true;
 }
 
-void StoreReader::handleDirectoryUpdate(Revision asOf, Milliseconds confirmedAt, Milliseconds now)
+void StoreReader::handleDirectoryUpdate(StoreRevision asOf, Milliseconds confirmedAt,
+                                        Milliseconds now)
 {
     m_after = std::max(m_after, asOf);
     m_confirmedAt = std::max(m_confirmedAt.value_or(confirmedAt), confirmedAt);
@@ -375,6 +413,18 @@
     }
 }
 
+void StoreReader::handleNewEraReport(Milliseconds now)
+{
+    if (!isFollowing()) {
+        return;
+    }
+    m_requestedReason = StoreCall::Reason::NewEra;
+    // A failed call is repeated after its delay.
+    if (m_failures == 0) {
+        m_due = std::min(m_due, now);
+    }
+}
+
 void StoreReader::requestDeclaration(Revision revision)
 {
     if (revision > m_requestedDeclaration) {
--- a/src/core/flow/storereader.h
+++ b/src/core/flow/storereader.h
@@ -48,6 +48,8 @@
         NewDeclaration,
         /// An open flow uses a route that the declaration in force lacks.
         RouteMissing,
+        /// A peer has read the store in an era that this instance does not know.
+        NewEra,
         /// The saved snapshot is old or missing.
         SnapshotDue,
     };
@@ -56,8 +58,9 @@
     Reason reason = Reason::Start;
     /// List: key after which the page begins; empty: the first page.
     std::string pageAfter;
-    /// Watch: revision after which changes are requested.
-    Revision after;
+    /// Watch: revision after which changes are requested. Of any call: the era that its caller
+    /// knows and that a response which names none is taken for.
+    StoreRevision after;
     /// Watch: maximum time that the store waits for a change.
     Milliseconds wait;
     /// Declaration: a stale read is sufficient, which costs the store less.
@@ -95,6 +98,9 @@
 /// of a directory that needs more than one page. While there is no snapshot, a randomly selected
 /// share of the instances lists the directory, and the others wait until one of them saves a
 /// snapshot.
+///
+/// A store that has returned from an older copy is read again as a whole: a watch would miss
+/// changes whose revisions had been assigned before, and never mentions what the copy lacks.
 /// Deterministic. Thread safety: none.
 class StoreReader
 {
@@ -113,16 +119,18 @@
     /// Returns the call that is due, or nothing. The caller passes its result to
     /// handleCallResult().
     std::optional<StoreCall> next(Milliseconds now);
-    /// Processes the result of the call. @p asOf: revision that the response reflects; zero if the
-    /// snapshot that was asked for does not exist. @p nextPage: key after which the next page of a
-    /// list begins, if there is one.
-    void handleCallResult(StoreOutcome outcome, Revision asOf, std::optional<std::string> nextPage,
-                          Milliseconds now);
+    /// Processes the result of the call. @p asOf: revision that the response reflects; its value is
+    /// zero if there is none, or if the snapshot that was asked for does not exist. @p nextPage:
+    /// key after which the next page of a list begins, if there is one. Returns the outcome that
+    /// counts: the content of a response that belongs to another era than what was read before it
+    /// must not be used.
+    StoreOutcome handleCallResult(StoreOutcome outcome, StoreRevision asOf,
+                                  std::optional<std::string> nextPage, Milliseconds now);
 
     /// Processes an update from a peer: all changes up to @p asOf are known, as confirmed by the
     /// store at @p confirmedAt. If that is long ago, the peer cannot read the store, and this
     /// instance decides at random whether it tries.
-    void handleDirectoryUpdate(Revision asOf, Milliseconds confirmedAt, Milliseconds now);
+    void handleDirectoryUpdate(StoreRevision asOf, Milliseconds confirmedAt, Milliseconds now);
     /// A follower does not read the store while the updates of its peers are recent.
     void setFollower(bool isFollower) { m_isFollower = isFollower; }
     /// Sets the number of other members that are not dead.
@@ -136,6 +144,9 @@
         m_due = std::min(m_due, now);
         m_requestedReason = reason;
     }
+    /// Makes a watch due, as a peer has read the store in a later era: immediately, or after the
+    /// delay of a failed call. The era is known when the store itself names it.
+    void handleNewEraReport(Milliseconds now);
     /// Requests the declaration until @p revision or a newer one is in force.
     void requestDeclaration(Revision revision);
     /// Requests one read of the declaration that begins now or later and is not stale.
@@ -148,8 +159,9 @@
     void handleSnapshotSaved(Milliseconds now);
     /// Sets the revision of the declaration in force.
     void setDeclaration(Revision revision) { m_declaration = revision; }
-    /// Revision up to which all changes are known.
-    Revision revision() const { return m_after; }
+    /// Revision up to which all changes are known; in a new era, zero until the directory has been
+    /// read again.
+    StoreRevision revision() const { return m_after; }
     /// Kind of the call in progress, or of the last one.
     StoreCall::Kind lastCall() const { return m_kind; }
     /// When the call in progress, or the last one, began.
@@ -185,7 +197,13 @@
     bool isConfirmationOverdue(Milliseconds confirmedAt, Milliseconds now) const;
     bool isSnapshotDue(Milliseconds now) const;
     StoreCall::Reason reasonFor(StoreCall::Kind kind) const;
-    void beginFollowing(Revision revision, Milliseconds now);
+    bool beginEra(StoreEra era);
+    void handleFailure(Milliseconds now);
+    void handleSnapshot(StoreRevision revision, Milliseconds now);
+    void handlePage(StoreRevision asOf, std::optional<std::string> nextPage, Milliseconds now);
+    /// Discards what has been read of a list, and goes on with @p phase.
+    void restartReading(Phase phase);
+    void beginFollowing(StoreRevision revision, Milliseconds now);
     /// Decides at random whether this instance lists the whole of a large directory or waits for a
     /// snapshot.
     void drawListing(Milliseconds now);
@@ -206,10 +224,10 @@
     StoreCall::Reason m_reason = StoreCall::Reason::Start;
     Milliseconds m_startedAt;
     Milliseconds m_due;
-    Revision m_after;
+    StoreRevision m_after;
     /// Revision of the first page. Later pages may be newer; the watch starts here so that it
     /// misses no change.
-    std::optional<Revision> m_listRevision;
+    std::optional<StoreRevision> m_listRevision;
     std::string m_page;
     /// Calls of drawListing() that decided to wait.
     std::uint32_t m_listDraws = 0;
--- a/src/core/flow/upstreamdirectory.cpp
+++ b/src/core/flow/upstreamdirectory.cpp
@@ -11,7 +11,7 @@
 {
 }
 
-bool UpstreamDirectory::advanceRevision(UpstreamId id, Revision revision)
+bool UpstreamDirectory::advanceRevision(UpstreamId id, StoreRevision revision)
 {
     IdState &idState = m_idStates[id];
     if (revision <= idState.revision) {
@@ -21,7 +21,8 @@
     return true;
 }
 
-void UpstreamDirectory::handleEntry(const UpstreamEntry &entry, Revision revision, Milliseconds now)
+void UpstreamDirectory::handleEntry(const UpstreamEntry &entry, StoreRevision revision,
+                                    Milliseconds now)
 {
     if (!advanceRevision(entry.key.id, revision)) {
         handleOldEntry(entry);
@@ -136,7 +137,7 @@
     return present(key.id) == key;
 }
 
-void UpstreamDirectory::handleRemoval(UpstreamId id, Revision revision, Milliseconds now)
+void UpstreamDirectory::handleRemoval(UpstreamId id, StoreRevision revision, Milliseconds now)
 {
     if (!advanceRevision(id, revision)) {
         return;
@@ -161,7 +162,8 @@
 }
 
 std::vector<UpstreamId> UpstreamDirectory::handleCompleteList(std::vector<UpstreamId> listed,
-                                                              Revision revision, Milliseconds now)
+                                                              StoreRevision revision,
+                                                              Milliseconds now)
 {
     std::vector<UpstreamId> removed;
     std::sort(listed.begin(), listed.end());
@@ -219,6 +221,11 @@
     }
 }
 
+void UpstreamDirectory::handleStoreRestored(Milliseconds now)
+{
+    m_storeReachableSince = now;
+}
+
 void UpstreamDirectory::tick(Milliseconds now)
 {
     const bool isUnconfirmed = isExpiryUnconfirmed(now);
--- a/src/core/flow/upstreamdirectory.h
+++ b/src/core/flow/upstreamdirectory.h
@@ -26,24 +26,24 @@
 /// Upstreams of all data centres, read from the platform's store by this instance or its peers.
 ///
 /// The states follow from what has been read, not from the order in which it arrived. Reports about
-/// one id are ordered by the store's revision, so a stale read or a late update never restores an
-/// older state. Upstreams with the same address are ordered by their start times: the store may
-/// execute a write of an ended upstream after its successor has registered. Deterministic. Thread
-/// safety: none.
+/// one id are ordered by the store's era and revision, so a stale read or a late update never
+/// restores an older state. Upstreams with the same address are ordered by their start times: the
+/// store may execute a write of an ended upstream after its successor has registered.
+/// Deterministic. Thread safety: none.
 class UpstreamDirectory
 {
 public:
     explicit UpstreamDirectory(DirectoryTimes times = {});
 
     /// Processes an entry as written at @p revision.
-    void handleEntry(const UpstreamEntry &entry, Revision revision, Milliseconds now);
+    void handleEntry(const UpstreamEntry &entry, StoreRevision revision, Milliseconds now);
     /// Processes the removal at @p revision of an entry, or the replacement by one that cannot be
     /// decoded.
-    void handleRemoval(UpstreamId id, Revision revision, Milliseconds now);
+    void handleRemoval(UpstreamId id, StoreRevision revision, Milliseconds now);
     /// Processes a complete list read at @p revision: entries that are not in it are removed.
     /// Returns their ids.
-    std::vector<UpstreamId> handleCompleteList(std::vector<UpstreamId> listed, Revision revision,
-                                               Milliseconds now);
+    std::vector<UpstreamId> handleCompleteList(std::vector<UpstreamId> listed,
+                                               StoreRevision revision, Milliseconds now);
     /// Sets the services that the declaration in force names. An entry of another service does not
     /// take over the address that it names. Until the first call, every service counts as declared.
     void setDeclaredServices(std::set<ServiceId> services);
@@ -52,6 +52,9 @@
     /// upstream is gone.
     void handleStoreUnreachable();
     void handleStoreReachable(Milliseconds now);
+    /// Processes that the store has lost its last changes. Upstreams whose entries are missing are
+    /// unconfirmed for the confirmation time, in which they write them again.
+    void handleStoreRestored(Milliseconds now);
 
     /// Ends the confirmation period and removes old records.
     void tick(Milliseconds now);
@@ -84,13 +87,13 @@
     /// Current state of one upstream id.
     struct IdState
     {
-        Revision revision;
+        StoreRevision revision;
         /// Incarnation named by the last entry.
         std::optional<UpstreamKey> lastKey;
         bool hasEntry = false;
     };
 
-    bool advanceRevision(UpstreamId id, Revision revision);
+    bool advanceRevision(UpstreamId id, StoreRevision revision);
     void handleOldEntry(const UpstreamEntry &entry);
     void storeEntry(const UpstreamEntry &entry, Milliseconds now);
     void removeEntry(IdState &idState, Milliseconds now);
--- a/src/forwarder/forwardertelemetry.cpp
+++ b/src/forwarder/forwardertelemetry.cpp
@@ -183,7 +183,7 @@
 {
     FlowControllerHooks hooks;
     hooks.random = std::move(random);
-    hooks.reportUpstream = [d = m_d.get()](const UpstreamRecord &record, Revision revision) {
+    hooks.reportUpstream = [d = m_d.get()](const UpstreamRecord &record, StoreRevision revision) {
         const auto suppressed =
                 Private::admitLine(d->upstreamRateLimit, d->clock.now(), MaxUpstreamLinesPerSecond);
         if (!suppressed) {
@@ -194,35 +194,35 @@
                     {"standing", std::string(toString(record.health))},
                     {"address", toString(record.entry.endpoint)},
                     {"born", std::to_string(record.entry.key.born.value)},
-                    {"store_revision", std::to_string(revision.value)},
+                    {"store_revision", toString(revision)},
                     {"left_out", std::to_string(*suppressed)}});
     };
     hooks.reportDirectory = [d = m_d.get()](StoreCall::Kind call, std::size_t upstreams,
-                                            Revision revision) {
+                                            StoreRevision revision) {
         const bool isList = call == StoreCall::Kind::List;
         d->log.log(LogLevel::Info, "upstreams", "The directory is complete.",
                    {{"source", isList ? "list" : "snapshot"},
                     {"upstreams", std::to_string(upstreams)},
-                    {"store_revision", std::to_string(revision.value)}});
+                    {"store_revision", toString(revision)}});
     };
     hooks.reportSnapshot = [d = m_d.get()](StoreOutcome outcome, const std::string &detail,
-                                           Revision revision) {
+                                           StoreRevision revision) {
         const bool isSaved = outcome == StoreOutcome::Done;
         d->log.log(isSaved ? LogLevel::Info : LogLevel::Warn, "store",
                    isSaved ? "A snapshot was saved." : "A snapshot was not saved.",
                    {{"outcome", std::string(toString(outcome))},
                     {"detail", detail},
-                    {"store_revision", std::to_string(revision.value)}});
+                    {"store_revision", toString(revision)}});
     };
     hooks.reportDeclaration = [d = m_d.get()](const RouteTable &table) {
         d->log.log(LogLevel::Info, "config", "A declaration is in force.",
                    {{"version", std::to_string(table.revision.value)},
                     {"routes", std::to_string(table.routes.size())}});
     };
-    hooks.reportInvalidItem = [d = m_d.get()](const std::string &error, Revision revision) {
+    hooks.reportInvalidItem = [d = m_d.get()](const std::string &error, StoreRevision revision) {
         ++d->invalidItems;
         d->log.log(LogLevel::Warn, "store", "An item cannot be used.",
-                   {{"mistake", error}, {"store_revision", std::to_string(revision.value)}});
+                   {{"mistake", error}, {"store_revision", toString(revision)}});
     };
     hooks.reportStore = [d = m_d.get()](bool isUnreachable, const std::string &detail) {
         d->storeLosses += isUnreachable ? 1 : 0;
@@ -230,12 +230,10 @@
                    isUnreachable ? "The store was lost." : "The store is back.",
                    {{"detail", detail}});
     };
-    hooks.reportStoreEra = [d = m_d.get()](StoreEra era, Revision known, Revision current) {
+    hooks.reportStoreEra = [d = m_d.get()](StoreRevision known, StoreRevision current) {
         ++d->storeRestorations;
         d->log.log(LogLevel::Warn, "store", "The store has returned from an older copy.",
-                   {{"era", std::to_string(era.value)},
-                    {"known_revision", std::to_string(known.value)},
-                    {"store_revision", std::to_string(current.value)}});
+                   {{"known_revision", toString(known)}, {"store_revision", toString(current)}});
     };
     return hooks;
 }
--- a/src/wire/changesrequestcodec.cpp
+++ b/src/wire/changesrequestcodec.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 /// First byte; differs from those of control datagrams and directory updates.
-constexpr std::uint8_t ChangesRequestMarker = 0xe1;
-constexpr std::size_t RequestFields = 1;
-/// Marker, array header and an integer of nine bytes.
-constexpr std::size_t MaxRequestBytes = 11;
+constexpr std::uint8_t ChangesRequestMarker = 0xe2;
+constexpr std::size_t RequestFields = 2;
+/// Marker, array header and two integers of nine bytes.
+constexpr std::size_t MaxRequestBytes = 20;
 
 Error malformed(std::string detail)
 {
@@ -31,7 +31,7 @@
     buffer.write(&marker, 1);
     packing::Packer packer(buffer);
     packer.pack_array(RequestFields);
-    packing::packAll(packer, std::tie(request.known));
+    packing::packAll(packer, std::tie(request.known.era, request.known.value));
     return {buffer.data(), buffer.size()};
 }
 
@@ -53,7 +53,7 @@
             throw packing::BadElement();
         }
         ChangesRequest request;
-        packing::unpackAll(object.via.array.ptr, std::tie(request.known));
+        packing::unpackAll(object.via.array.ptr, std::tie(request.known.era, request.known.value));
         return request;
     } catch (const packing::BadElement &) {
         return malformed("unexpected element");
--- a/src/wire/directoryupdatecodec.cpp
+++ b/src/wire/directoryupdatecodec.cpp
@@ -12,21 +12,22 @@
 using packing::Packer;
 
 /// First byte. The high half differs from that of control datagrams.
-constexpr std::uint8_t DirectoryUpdateMarker = 0xd1;
+constexpr std::uint8_t DirectoryUpdateMarker = 0xd2;
 constexpr std::uint8_t MarkerKindMask = 0xf0;
-constexpr std::size_t HeadFields = 6;
+constexpr std::size_t HeadFields = 7;
 constexpr std::size_t RemovalFields = 2;
 
 auto headFields(DirectoryUpdate &update)
 {
-    return std::tie(update.origin, update.sequence, update.age, update.from, update.to,
-                    update.declaration);
+    return std::tie(update.origin, update.sequence, update.age, update.to.era, update.from.value,
+                    update.to.value, update.declaration);
 }
 
 auto entryFields(StoreChange &change, UpstreamEntry &entry)
 {
-    return std::tie(change.revision, entry.key.id, entry.key.born, entry.service, entry.endpoint,
-                    entry.dataCentre, entry.slots, entry.isLeaving, entry.warmupLeft);
+    return std::tie(change.revision.value, entry.key.id, entry.key.born, entry.service,
+                    entry.endpoint, entry.dataCentre, entry.slots, entry.isLeaving,
+                    entry.warmupLeft);
 }
 
 void packChange(Packer &packer, StoreChange change)
@@ -37,7 +38,7 @@
         packing::packAll(packer, fields);
     } else if (const auto *removal = std::get_if<UpstreamRemoval>(&change.content)) {
         packer.pack_array(RemovalFields);
-        packing::packAll(packer, std::tie(change.revision, removal->id));
+        packing::packAll(packer, std::tie(change.revision.value, removal->id));
     }
 }
 
@@ -63,7 +64,7 @@
         change.content = entry;
     } else if (array.size == RemovalFields) {
         UpstreamRemoval removal;
-        packing::unpackAll(array.ptr, std::tie(change.revision, removal.id));
+        packing::unpackAll(array.ptr, std::tie(change.revision.value, removal.id));
         change.content = removal;
     } else {
         throw BadElement();
@@ -81,9 +82,11 @@
     if (update.age < Milliseconds{}) {
         throw BadElement();
     }
+    update.from.era = update.to.era;
     const auto &changes = arrayOf(array.ptr[HeadFields]);
     for (std::uint32_t i = 0; i < changes.size; ++i) {
         update.changes.push_back(unpackChange(changes.ptr[i]));
+        update.changes.back().revision.era = update.to.era;
     }
     return update;
 }
--- a/tests/core/flow/changelog_test.cpp
+++ b/tests/core/flow/changelog_test.cpp
@@ -40,8 +40,8 @@
     record(11, 110);
     const auto updates = log.updatesSince({20}, {200});
     EXPECT_EQ(countChanges(updates), 90U);
-    EXPECT_EQ(updates.front().from, Revision{20});
-    EXPECT_EQ(updates.back().to, Revision{200});
+    EXPECT_EQ(updates.front().from, StoreRevision{20});
+    EXPECT_EQ(updates.back().to, StoreRevision{200});
     for (std::size_t i = 1; i < updates.size(); ++i) {
         EXPECT_EQ(updates[i].from, updates[i - 1].to);
         EXPECT_GT(updates[i].changes.front().revision, updates[i].from);
@@ -67,7 +67,7 @@
     }
     const DirectoryUpdate latest = log.latest({60});
     EXPECT_EQ(latest.changes.size(), 2U) << "not a part of revision 50";
-    EXPECT_EQ(latest.from, Revision{50});
+    EXPECT_EQ(latest.from, StoreRevision{50});
 }
 
 // Guards against changes of a list, which are not in the order of their revisions, that are missing
@@ -79,7 +79,7 @@
     log.record({{20}, makeEntry(2)});
     const auto updates = log.updatesSince({25}, {40});
     ASSERT_EQ(countChanges(updates), 1U);
-    EXPECT_EQ(updates.front().changes.front().revision, Revision{30});
+    EXPECT_EQ(updates.front().changes.front().revision, StoreRevision{30});
 }
 
 // Guards against a log that grows without limit, or claims to reach back further than it does.
@@ -87,7 +87,7 @@
 {
     log.restart({10});
     record(11, 5000);
-    EXPECT_GT(log.start(), Revision{3000});
+    EXPECT_GT(log.start(), StoreRevision{3000});
     EXPECT_EQ(countChanges(log.updatesSince(log.start(), {5000})), 5000 - log.start().value);
 }
 
@@ -97,8 +97,8 @@
     log.restart({10});
     const auto updates = log.updatesSince({10}, {20});
     ASSERT_EQ(updates.size(), 1U);
-    EXPECT_EQ(updates.front().from, Revision{10});
-    EXPECT_EQ(updates.front().to, Revision{20});
+    EXPECT_EQ(updates.front().from, StoreRevision{10});
+    EXPECT_EQ(updates.front().to, StoreRevision{20});
     EXPECT_TRUE(updates.front().changes.empty());
 }
 
--- a/tests/core/flow/flowcontroller_test.cpp
+++ b/tests/core/flow/flowcontroller_test.cpp
@@ -22,13 +22,15 @@
     {
         FlowControllerHooks hooks;
         hooks.random = seededRandom(1);
-        hooks.reportUpstream = [this](const UpstreamRecord &, Revision) { ++reportedUpstreams; };
+        hooks.reportUpstream = [this](const UpstreamRecord &, StoreRevision) {
+            ++reportedUpstreams;
+        };
         hooks.reportDeclaration = [](const RouteTable &) {};
-        hooks.reportInvalidItem = [this](const std::string &, Revision) { ++invalidItems; };
+        hooks.reportInvalidItem = [this](const std::string &, StoreRevision) { ++invalidItems; };
         hooks.reportStore = [](bool, const std::string &) {};
-        hooks.reportStoreEra = [this](StoreEra, Revision, Revision) { ++reportedEras; };
-        hooks.reportDirectory = [](StoreCall::Kind, std::size_t, Revision) {};
-        hooks.reportSnapshot = [](StoreOutcome, const std::string &, Revision) {};
+        hooks.reportStoreEra = [this](StoreRevision, StoreRevision) { ++reportedEras; };
+        hooks.reportDirectory = [](StoreCall::Kind, std::size_t, StoreRevision) {};
+        hooks.reportSnapshot = [](StoreOutcome, const std::string &, StoreRevision) {};
         return hooks;
     }
 
@@ -69,6 +71,16 @@
         return reply;
     }
 
+    /// Returns @p reply with all its revisions in @p era.
+    static StoreReply inEra(StoreEra era, StoreReply reply)
+    {
+        reply.asOf.era = era;
+        for (StoreChange &change : reply.changes) {
+            change.revision.era = era;
+        }
+        return reply;
+    }
+
     static StoreChange declared(std::uint64_t storeRevision, std::uint64_t version)
     {
         return {{storeRevision}, DeclaredRoutes{makeRoutes(version), {}}};
@@ -112,16 +124,12 @@
 // Guards against a restored store that leaves no trace in the log.
 TEST_F(FlowControllerTest, ReportsOnceThatTheStoreWasRestored)
 {
-    const auto replyOfEra = [this](StoreEra era, std::uint64_t asOf) {
-        StoreReply answer = done(asOf);
-        answer.era = era;
-        reply(answer);
-    };
-    replyOfEra({1}, 0);
-    replyOfEra({1}, 10);
+    reply(inEra({1}, done(0)));
+    reply(inEra({1}, done(10)));
     EXPECT_EQ(reportedEras, 0) << "the first era";
-    replyOfEra({2}, 8);
-    replyOfEra({2}, 9);
+    reply(inEra({2}, done(8)));
+    reply(inEra({2}, done(0)));
+    reply(inEra({2}, done(9)));
     EXPECT_EQ(reportedEras, 1);
 }
 
@@ -340,7 +348,7 @@
     ASSERT_EQ(call.kind, StoreCall::Kind::SaveSnapshot);
     ASSERT_NE(call.snapshot, nullptr);
     EXPECT_EQ(call.snapshot->changes.size(), Upstreams) << "without the one that was removed";
-    EXPECT_EQ(call.snapshot->to, Revision{1000});
+    EXPECT_EQ(call.snapshot->to, StoreRevision{1000});
 
     FlowController other{{}, makeHooks()};
     other.nextCall(now);
@@ -384,5 +392,135 @@
     EXPECT_TRUE(controller.isUsable());
 }
 
+// An instance that has read the store in its first era.
+class FlowControllerEra : public FlowControllerTest
+{
+protected:
+    void SetUp() override
+    {
+        reply(inEra({1}, done(0)));
+        reply(inEra({1}, done(100, {{{40}, makeEntry(1)}, {{90}, makeEntry(2)}, declared(50, 3)})));
+    }
+
+    /// Answers the calls with which the directory is read again in the second era.
+    void readAgain(StoreReply list)
+    {
+        reply(inEra({2}, done(70)));
+        reply(inEra({2}, done(0)));
+        reply(inEra({2}, std::move(list)));
+    }
+
+    UpstreamHealth health(const UpstreamEntry &entry) const
+    {
+        return controller.directory().record(entry.key).health;
+    }
+
+    static DirectoryUpdate updateOfEra(StoreEra era, std::uint64_t from, std::uint64_t to)
+    {
+        DirectoryUpdate update;
+        update.from = {from, era};
+        update.to = {to, era};
+        update.declaration = {3};
+        return update;
+    }
+};
+
+// Guards against a list that is ignored because its revisions are lower than those of before.
+TEST_F(FlowControllerEra, ListsCountWhateverTheRevisionsOfBefore)
+{
+    readAgain(done(75, {{{40}, makeEntry(1)}, declared(72, 4)}));
+    EXPECT_EQ(controller.revision(), Revision{4});
+    EXPECT_EQ(health(makeEntry(2)), UpstreamHealth::Unconfirmed) << "it may be written again";
+    reply(inEra({2}, done(80, {{{78}, makeEntry(2)}, {{79}, UpstreamRemoval{{1}, {}}}})));
+    EXPECT_EQ(health(makeEntry(2)), UpstreamHealth::Ready);
+    EXPECT_EQ(health(makeEntry(1)), UpstreamHealth::Unconfirmed);
+    now += 2100_ms;
+    controller.tick(now);
+    EXPECT_EQ(health(makeEntry(1)), UpstreamHealth::Gone);
+}
+
+// Guards against new flows at a leaving upstream while the store does not serve this instance.
+TEST_F(FlowControllerEra, ChangesFromPeersOfANewOneHoldAtOnce)
+{
+    controller.setReader(false, 1);
+    awaitCall();
+    DirectoryUpdate update = updateOfEra({2}, 60, 75);
+    UpstreamEntry leaving = makeEntry(1);
+    leaving.isLeaving = true;
+    update.changes = {{{74, {2}}, leaving}};
+    controller.handleDirectoryUpdate(update, Peer, now);
+    EXPECT_EQ(health(makeEntry(1)), UpstreamHealth::Leaving);
+    controller.handleReply(inEra({1}, done(101)), now);
+    const Milliseconds reported = now;
+    controller.handleDirectoryUpdate(update, Peer, now);
+    EXPECT_EQ(awaitCall().reason, StoreCall::Reason::NewEra);
+    EXPECT_EQ(now, reported);
+    EXPECT_TRUE(controller.answerChangesRequest({{100, {1}}}, now).front().changes.empty())
+            << "peers of the first era get changes of that one only";
+}
+
+// Guards against new flows at a leaving upstream while a large directory is read again.
+TEST_F(FlowControllerEra, ChangesFromPeersHoldWhileTheDirectoryIsReadAgain)
+{
+    reply(inEra({2}, done(70)));
+    awaitCall();
+    DirectoryUpdate update = updateOfEra({2}, 60, 75);
+    UpstreamEntry leaving = makeEntry(1);
+    leaving.isLeaving = true;
+    update.changes = {{{74, {2}}, leaving}};
+    controller.handleDirectoryUpdate(update, Peer, now);
+    EXPECT_EQ(health(makeEntry(1)), UpstreamHealth::Leaving);
+    controller.handleReply(inEra({2}, done(0)), now);
+    reply(inEra({2}, done(73, {{{40}, makeEntry(1)}})));
+    EXPECT_EQ(health(makeEntry(1)), UpstreamHealth::Leaving) << "its list is older";
+}
+
+// Guards against updates of peers that have not noticed yet.
+TEST_F(FlowControllerEra, UpdatesOfAnEarlierOneAreIgnored)
+{
+    readAgain(done(75, {{{40}, makeEntry(1)}, {{71}, makeEntry(2)}, declared(50, 3)}));
+    DirectoryUpdate update = updateOfEra({1}, 50, 200);
+    update.changes = {{{150, {1}}, UpstreamRemoval{{2}, {}}}};
+    controller.handleDirectoryUpdate(update, Peer, now);
+    EXPECT_EQ(health(makeEntry(2)), UpstreamHealth::Ready);
+}
+
+// Guards against a start from a snapshot whose revision the store has assigned again since.
+TEST_F(FlowControllerEra, SnapshotsOfAnEarlierOneAreNotUsed)
+{
+    reply(inEra({2}, done(120)));
+    StoreReply snapshot = inEra({2}, done(0));
+    snapshot.snapshot = updateOfEra({1}, 0, 110);
+    snapshot.snapshot->changes = {{{105, {1}}, makeEntry(3)}};
+    reply(snapshot);
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::List);
+    EXPECT_EQ(controller.directory().records().size(), 2U);
+}
+
+// Guards against refusals and resets on the word of a copy: what it lacks may have been
+// acknowledged and is written again.
+TEST_F(FlowControllerEra, WhatACopyLacksIsNotCertainForAWhile)
+{
+    controller.takeView(now);
+    controller.takeDeclarationState();
+    readAgain(done(75, {{{40}, makeEntry(1)}, declared(50, 3)}));
+    EXPECT_FALSE(controller.takeView(now)->isCurrent());
+    controller.requestCurrentDeclaration(now);
+    while (awaitCall().kind != StoreCall::Kind::Declaration) {
+        controller.handleReply(inEra({2}, done(76)), now);
+    }
+    controller.handleReply(inEra({2}, done(76, {declared(50, 3)})), now);
+    EXPECT_FALSE(controller.takeDeclarationState()) << "not confirmed";
+    now += 2100_ms;
+    reply(inEra({2}, done(80)));
+    EXPECT_TRUE(controller.takeView(now)->isCurrent());
+    controller.requestCurrentDeclaration(now);
+    while (awaitCall().kind != StoreCall::Kind::Declaration) {
+        controller.handleReply(inEra({2}, done(81)), now);
+    }
+    controller.handleReply(inEra({2}, done(81, {declared(50, 3)})), now);
+    EXPECT_EQ(controller.takeDeclarationState()->confirmed, Revision{3});
+}
+
 } // namespace
 } // namespace damaskhall
--- a/tests/core/flow/restoredstore_test.cpp
+++ b/tests/core/flow/restoredstore_test.cpp
@@ -29,7 +29,7 @@
     void runFor(Milliseconds duration) { cluster.events.runUntil(cluster.events.now() + duration); }
 
     /// The store refuses all calls for @p duration and then returns from the copy of @p revision.
-    void restoreAfterOutage(Revision revision, Milliseconds duration = 2_s)
+    void restoreAfterOutage(StoreRevision revision, Milliseconds duration = 2_s)
     {
         for (int i = 0; i < Size; ++i) {
             cluster.refused.insert(i);
@@ -79,7 +79,7 @@
 // revision.
 TEST_F(RestoredStore, ReportsBelowTheKnownRevisionsCount)
 {
-    const Revision copy = cluster.revision();
+    const StoreRevision copy = cluster.revision();
     runFor(4_s);
     cluster.write(makeEntry(1));
     cluster.write(makeEntry(2));
@@ -99,7 +99,7 @@
 // until the revisions are as high as before.
 TEST_F(RestoredStore, EachInstanceFollowsAgainWithinTheLimit)
 {
-    const Revision copy = cluster.revision();
+    const StoreRevision copy = cluster.revision();
     runFor(6_s);
     restoreAfterOutage(copy);
     cluster.cutOff = {3, 4, 5};
@@ -112,7 +112,7 @@
 // Guards against an upstream that stays known for good although nothing in the store names it.
 TEST_F(RestoredStore, EntriesThatDoNotReturnAreGone)
 {
-    const Revision copy = cluster.revision();
+    const StoreRevision copy = cluster.revision();
     runFor(1_s);
     cluster.write(makeEntry(3));
     cluster.write(makeEntry(4));
@@ -131,7 +131,7 @@
 // lost that.
 TEST_F(RestoredStore, UpstreamsThatAreLeavingStayLeaving)
 {
-    const Revision copy = cluster.revision();
+    const StoreRevision copy = cluster.revision();
     cluster.write(leaving(1));
     cluster.write(leaving(2));
     runFor(2_s);
@@ -147,7 +147,7 @@
 // not see the next one.
 TEST_F(RestoredStore, DeclarationsNeverReturnToAnOlderOne)
 {
-    const Revision copy = cluster.revision();
+    const StoreRevision copy = cluster.revision();
     runFor(1_s);
     cluster.declare(5);
     runFor(3_s);
@@ -167,7 +167,7 @@
 // Guards against an instance that was away during a restoration, or during the second of two.
 TEST_F(RestoredStore, ASecondRestorationIsNoticed)
 {
-    const Revision copy = cluster.revision();
+    const StoreRevision copy = cluster.revision();
     runFor(3_s);
     restoreAfterOutage(copy, 300_ms);
     cluster.write(makeEntry(3));
--- a/tests/core/flow/storereader_test.cpp
+++ b/tests/core/flow/storereader_test.cpp
@@ -40,10 +40,10 @@
         return {};
     }
 
-    void completeCall(StoreOutcome outcome, std::uint64_t asOf = 0,
-                      std::optional<std::string> page = {})
+    StoreOutcome completeCall(StoreOutcome outcome, std::uint64_t asOf = 0,
+                              std::optional<std::string> page = {})
     {
-        reader.handleCallResult(outcome, {asOf}, std::move(page), now);
+        return reader.handleCallResult(outcome, {asOf, era}, std::move(page), now);
     }
 
     void expectOnlyWatches()
@@ -56,6 +56,8 @@
     }
 
     Milliseconds now = 10_s;
+    /// Era that the store's responses name.
+    StoreEra era;
     StoreReader reader{{1_s, 1_s}, seededRandom(1)};
 };
 
@@ -78,7 +80,7 @@
     completeCall(StoreOutcome::Done);
     const StoreCall watch = awaitCall();
     EXPECT_EQ(watch.kind, StoreCall::Kind::Watch);
-    EXPECT_EQ(watch.after, Revision{100});
+    EXPECT_EQ(watch.after, StoreRevision{100});
 }
 
 // Guards against a store call for each heartbeat of each upstream.
@@ -186,11 +188,11 @@
     EXPECT_FALSE(reader.isFollowing());
     const StoreCall changes = awaitCall();
     EXPECT_EQ(changes.kind, StoreCall::Kind::Watch);
-    EXPECT_EQ(changes.after, Revision{100});
+    EXPECT_EQ(changes.after, StoreRevision{100});
     EXPECT_EQ(changes.wait, 0_ms) << "there may be none";
     completeCall(StoreOutcome::Done, 105);
     EXPECT_TRUE(reader.isFollowing());
-    EXPECT_EQ(reader.revision(), Revision{105});
+    EXPECT_EQ(reader.revision(), StoreRevision{105});
 }
 
 // Guards against a first start of a large fleet in which every instance lists everything.
@@ -214,7 +216,8 @@
         EXPECT_EQ(call.kind, StoreCall::Kind::List);
         EXPECT_EQ(call.pageAfter, "servers/i-5") << "what was read is not read again";
         completeCall(StoreOutcome::Done, 120);
-        EXPECT_EQ(reader.revision(), Revision{100}) << "changes since the first page are missing";
+        EXPECT_EQ(reader.revision(), StoreRevision{100})
+                << "changes since the first page are missing";
         longest = std::max(longest, now - begin);
     }
     EXPECT_LE(listers, Instances / 8);
@@ -324,5 +327,121 @@
     EXPECT_FALSE(reader.next(now + 60_s));
 }
 
+// The store returns from an older copy.
+class StoreReaderEra : public StoreReaderTest
+{
+protected:
+    void SetUp() override
+    {
+        era = {1};
+        replyWithoutSnapshot();
+        EXPECT_EQ(awaitCall().kind, StoreCall::Kind::List) << "the first era is no change";
+        completeCall(StoreOutcome::Done, 100);
+    }
+};
+
+// Guards against a watch that begins at a revision of before, after which the store has assigned
+// others.
+TEST_F(StoreReaderEra, IsReadAgainAsAWhole)
+{
+    EXPECT_EQ(awaitCall().after, (StoreRevision{100, {1}}));
+    era = {2};
+    EXPECT_EQ(completeCall(StoreOutcome::Done, 120), StoreOutcome::HistoryLost);
+    EXPECT_FALSE(reader.isFollowing());
+    replyWithoutSnapshot();
+    const StoreCall list = awaitCall();
+    EXPECT_EQ(list.kind, StoreCall::Kind::List);
+    EXPECT_EQ(list.after.era, StoreEra{2});
+    EXPECT_EQ(completeCall(StoreOutcome::Done, 95), StoreOutcome::Done);
+    EXPECT_TRUE(reader.isFollowing());
+    EXPECT_EQ(awaitCall().after, (StoreRevision{95, {2}}));
+}
+
+// Guards against a new era that goes unnoticed because the store refuses the call that shows it.
+TEST_F(StoreReaderEra, IsNoticedInARefusal)
+{
+    awaitCall();
+    era = {2};
+    const Milliseconds refused = now;
+    EXPECT_EQ(completeCall(StoreOutcome::Refused), StoreOutcome::Refused);
+    EXPECT_FALSE(reader.isFollowing());
+    replyWithoutSnapshot();
+    EXPECT_GT(now, refused) << "repeated after a delay";
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::List);
+}
+
+// Guards against a response from before the restoration that is taken for a later state.
+TEST_F(StoreReaderEra, ResponsesOfAnEarlierOneAreNotUsed)
+{
+    awaitCall();
+    era = {2};
+    completeCall(StoreOutcome::Done, 90);
+    replyWithoutSnapshot();
+    awaitCall();
+    era = {1};
+    const Milliseconds answered = now;
+    EXPECT_EQ(completeCall(StoreOutcome::Done, 100), StoreOutcome::Unanswered);
+    EXPECT_FALSE(reader.isFollowing());
+    era = {2};
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::List);
+    EXPECT_GT(now, answered) << "repeated after a delay";
+    completeCall(StoreOutcome::Done, 91);
+    EXPECT_TRUE(reader.isFollowing());
+}
+
+// Guards against a follower that waits for seconds although a peer has read the store again: it
+// failed to read during the outage, and counts on its peers since.
+TEST_F(StoreReaderEra, IsReadUponTheReportOfAPeer)
+{
+    reader.setFollower(true);
+    reader.setPeerCount(1);
+    now += 1300_ms;
+    reader.handleDirectoryUpdate({101, {1}}, now - 1300_ms, now);
+    EXPECT_EQ(awaitCall().reason, StoreCall::Reason::OutageTrial);
+    completeCall(StoreOutcome::Refused);
+    reader.setPeerCount(100'000);
+    now += 500_ms;
+    reader.handleDirectoryUpdate({102, {1}}, now - 1800_ms, now);
+    EXPECT_FALSE(reader.next(now)) << "the peers read the store";
+    const Milliseconds reported = now;
+    reader.handleNewEraReport(now);
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::Watch);
+    EXPECT_EQ(now, reported);
+}
+
+// Guards against a list whose pages show the store before and after a restoration.
+TEST_F(StoreReaderEra, BeginsAListAgain)
+{
+    awaitCall();
+    completeCall(StoreOutcome::HistoryLost);
+    replyWithoutSnapshot();
+    awaitCall();
+    completeCall(StoreOutcome::Done, 110, "servers/i-5");
+    StoreCall page = awaitCall();
+    while (page.kind == StoreCall::Kind::Snapshot) {
+        completeCall(StoreOutcome::Done);
+        page = awaitCall();
+    }
+    EXPECT_EQ(page.pageAfter, "servers/i-5");
+    era = {2};
+    EXPECT_EQ(completeCall(StoreOutcome::Done, 90), StoreOutcome::HistoryLost);
+    replyWithoutSnapshot();
+    const StoreCall first = awaitCall();
+    EXPECT_EQ(first.kind, StoreCall::Kind::List);
+    EXPECT_EQ(first.pageAfter, "");
+}
+
+// Guards against a start that takes two reads of the snapshot in every store that counts eras.
+TEST(StoreReaderFirstEra, CostsNoFurtherCall)
+{
+    StoreReader reader({1_s, 1_s}, seededRandom(1));
+    ASSERT_EQ(reader.next(10_s)->kind, StoreCall::Kind::Snapshot);
+    reader.handleCallResult(StoreOutcome::Done, {0, {7}}, {}, 10_s);
+    ASSERT_EQ(reader.next(10_s)->kind, StoreCall::Kind::List);
+    EXPECT_EQ(reader.handleCallResult(StoreOutcome::Done, {100, {7}}, {}, 10_s),
+              StoreOutcome::Done);
+    EXPECT_TRUE(reader.isFollowing());
+}
+
 } // namespace
 } // namespace damaskhall
--- a/tests/support/peercluster.h
+++ b/tests/support/peercluster.h
@@ -46,13 +46,13 @@
         const RandomSource random = seededRandom(m_random());
         FlowControllerHooks hooks;
         hooks.random = random;
-        hooks.reportUpstream = [](const UpstreamRecord &, Revision) {};
+        hooks.reportUpstream = [](const UpstreamRecord &, StoreRevision) {};
         hooks.reportDeclaration = [](const RouteTable &) {};
-        hooks.reportInvalidItem = [](const std::string &, Revision) {};
+        hooks.reportInvalidItem = [](const std::string &, StoreRevision) {};
         hooks.reportStore = [](bool, const std::string &) {};
-        hooks.reportStoreEra = [](StoreEra, Revision, Revision) {};
-        hooks.reportDirectory = [](StoreCall::Kind, std::size_t, Revision) {};
-        hooks.reportSnapshot = [](StoreOutcome, const std::string &, Revision) {};
+        hooks.reportStoreEra = [](StoreRevision, StoreRevision) {};
+        hooks.reportDirectory = [](StoreCall::Kind, std::size_t, StoreRevision) {};
+        hooks.reportSnapshot = [](StoreOutcome, const std::string &, StoreRevision) {};
         FlowController::Times times;
         times.reader = {WatchInterval, WatchInterval};
         node.controller = std::make_unique<FlowController>(times, hooks);
@@ -106,16 +106,17 @@
 
     /// The store returns from the copy that it had at @p revision, and gives out the revisions
     /// after it again. Precondition: discardHistory() has not been called since that revision.
-    void restore(Revision revision)
+    void restore(StoreRevision revision)
     {
-        std::erase_if(m_changes,
-                      [&](const StoreChange &change) { return change.revision > revision; });
+        std::erase_if(m_changes, [&](const StoreChange &change) {
+            return change.revision.value > revision.value;
+        });
         m_revision = revision.value;
         ++m_era.value;
     }
 
     /// Current revision of the store.
-    Revision revision() const { return {m_revision}; }
+    StoreRevision revision() const { return {m_revision, m_era}; }
 
     bool isUp(int index) const { return m_nodes[static_cast<std::size_t>(index)].isUp; }
     int size() const { return static_cast<int>(m_nodes.size()); }
@@ -241,26 +242,33 @@
             reply.outcome = StoreOutcome::Refused;
             return reply;
         }
-        reply.era = m_era;
+        reply.asOf.era = m_era;
         if (call.kind == StoreCall::Kind::Watch &&
             (call.after.value < m_historyStart || call.after.value > m_revision)) {
             reply.outcome = StoreOutcome::HistoryLost;
             return reply;
         }
         reply.outcome = StoreOutcome::Done;
-        reply.asOf = {m_revision};
-        if (call.kind == StoreCall::Kind::List) {
-            reply.changes = listItems();
-            return reply;
+        reply.asOf = revision();
+        reply.changes = call.kind == StoreCall::Kind::List ? listItems() : changesFor(call);
+        for (StoreChange &change : reply.changes) {
+            change.revision.era = m_era;
         }
+        return reply;
+    }
+
+    std::vector<StoreChange> changesFor(const StoreCall &call) const
+    {
+        std::vector<StoreChange> changes;
         for (const StoreChange &change : m_changes) {
             const bool isDeclaration = std::holds_alternative<DeclaredRoutes>(change.content);
-            if (call.kind == StoreCall::Kind::Declaration ? isDeclaration
-                                                          : change.revision > call.after) {
-                reply.changes.push_back(change);
+            if (call.kind == StoreCall::Kind::Declaration
+                        ? isDeclaration
+                        : change.revision.value > call.after.value) {
+                changes.push_back(change);
             }
         }
-        return reply;
+        return changes;
     }
 
     /// Returns the items that exist now.
--- a/tests/usersplatform/storeclient_test.cpp
+++ b/tests/usersplatform/storeclient_test.cpp
@@ -59,7 +59,7 @@
     EXPECT_TRUE(lastRequestHead.starts_with("GET /v1/kv-range?prefix= HTTP/1.1"))
             << lastRequestHead;
     EXPECT_EQ(reply.outcome, StoreOutcome::Done) << reply.detail;
-    EXPECT_EQ(reply.asOf, Revision{530});
+    EXPECT_EQ(reply.asOf, StoreRevision{530});
     EXPECT_EQ(reply.nextPage, "servers/i-0a");
     ASSERT_EQ(reply.changes.size(), 2U) << "keys of other writers are ignored";
     EXPECT_EQ(std::get<DeclaredRoutes>(reply.changes[0].content).table, nullptr);
@@ -95,7 +95,7 @@
     EXPECT_TRUE(lastRequestHead.starts_with("GET /v1/kv-watch?prefix=&after=411&wait_ms=700 "))
             << lastRequestHead;
     ASSERT_EQ(reply.changes.size(), 1U);
-    EXPECT_EQ(reply.changes[0].revision, Revision{413});
+    EXPECT_EQ(reply.changes[0].revision, StoreRevision{413});
     EXPECT_EQ(std::get<UpstreamRemoval>(reply.changes[0].content).id, UpstreamId{11});
 }
 
@@ -154,7 +154,7 @@
             lastRequestHead.starts_with("GET /v1/kv-key?serializable=1&key=damaskhall/directory "))
             << lastRequestHead;
     ASSERT_TRUE(reply.snapshot) << reply.detail;
-    EXPECT_EQ(reply.snapshot->to, Revision{77});
+    EXPECT_EQ(reply.snapshot->to, StoreRevision{77});
     EXPECT_EQ(reply.snapshot->changes.size(), 3000U);
 }
 
@@ -181,26 +181,34 @@
 // Guards against a restored store that is not noticed, also while it refuses calls.
 TEST_F(StoreClientTest, ReadsTheEraOfEachResponse)
 {
-    response = RawServer::ok(R"({"events":[],"as_of":9})", "200 OK", "Store-Era: 3\r\n");
-    EXPECT_EQ(call(watch(1)).era, StoreEra{3});
+    response = RawServer::ok(
+            R"({"events":[{"key":"servers/i-1","revision":9,"removed":true}],"as_of":9})", "200 OK",
+            "Store-Era: 3\r\n");
+    const StoreReply reply = call(watch(1));
+    EXPECT_EQ(reply.asOf, (StoreRevision{9, {3}}));
+    ASSERT_EQ(reply.changes.size(), 1U);
+    EXPECT_EQ(reply.changes[0].revision, (StoreRevision{9, {3}}));
     for (const char *status : {"410 Gone", "503 Busy", "429 Many", "404 Not Found"}) {
         response = RawServer::ok("{}", status, "Store-Era: 4\r\n");
-        EXPECT_EQ(call(watch(1)).era, StoreEra{4}) << status;
+        EXPECT_EQ(call(watch(1)).asOf.era, StoreEra{4}) << status;
     }
 }
 
-// Guards against an era that is made up from a header of another form.
+// Guards against an era that is made up from a header of another form: the response is taken for
+// one of the era that the caller knows.
 TEST_F(StoreClientTest, IgnoresAnEraThatIsNoNumber)
 {
+    StoreCall request = watch(1);
+    request.after.era = {5};
     for (const char *value : {"", "x", "3x", "-1", "99999999999999999999"}) {
         response = RawServer::ok(R"({"events":[],"as_of":9})", "200 OK",
                                  std::string("Store-Era: ") + value + "\r\n");
-        const StoreReply reply = call(watch(1));
+        const StoreReply reply = call(request);
         EXPECT_EQ(reply.outcome, StoreOutcome::Done) << value;
-        EXPECT_EQ(reply.era, std::nullopt) << value;
+        EXPECT_EQ(reply.asOf, (StoreRevision{9, {5}})) << value;
     }
     response = RawServer::ok(R"({"events":[],"as_of":9})");
-    EXPECT_EQ(call(watch(1)).era, std::nullopt);
+    EXPECT_EQ(call(request).asOf, (StoreRevision{9, {5}}));
 }
 
 // Guards against decoding the instances' own snapshot key as an upstream entry.
--- a/tests/wire/directoryupdatecodec_test.cpp
+++ b/tests/wire/directoryupdatecodec_test.cpp
@@ -13,17 +13,17 @@
     update.origin = {7};
     update.sequence = 1'800'000'000'123;
     update.age = 40_ms;
-    update.from = {1000};
-    update.to = {1200};
+    update.from = {1000, {3}};
+    update.to = {1200, {3}};
     update.declaration = {9};
     for (std::size_t i = 0; i < changes; ++i) {
         if (i % 3 == 2) {
-            update.changes.push_back({{1100 + i}, UpstreamRemoval{{i}, {}}});
+            update.changes.push_back({{1100 + i, {3}}, UpstreamRemoval{{i}, {}}});
         } else {
             UpstreamEntry entry = test::makeEntry(0x1122334455667700 + i, 1'800'000'000'000);
             entry.warmupLeft = 1500_ms;
             entry.isLeaving = i % 2 == 0;
-            update.changes.push_back({{1100 + i}, entry});
+            update.changes.push_back({{1100 + i, {3}}, entry});
         }
     }
     return update;
@@ -62,9 +62,9 @@
         EXPECT_FALSE(decodeDirectoryUpdate(std::string_view(bytes).substr(0, length)));
     }
     EXPECT_FALSE(decodeDirectoryUpdate(bytes + "x"));
-    EXPECT_FALSE(decodeDirectoryUpdate(std::string(3000, '\xd1')));
+    EXPECT_FALSE(decodeDirectoryUpdate(std::string(3000, '\xd2')));
     std::string other = bytes;
-    other[0] = '\xd2';
+    other[0] = '\xd1';
     EXPECT_EQ(decodeDirectoryUpdate(other).assume_error().code, ErrorCode::VersionMismatch);
     for (std::size_t i = 1; i < bytes.size(); ++i) {
         std::string broken = bytes;
--- a/tests/wire/snapshotcodec_test.cpp
+++ b/tests/wire/snapshotcodec_test.cpp
@@ -8,7 +8,7 @@
 DirectoryUpdate snapshotOf(std::uint64_t upstreams)
 {
     DirectoryUpdate snapshot;
-    snapshot.to = {77};
+    snapshot.to = {77, {3}};
     snapshot.declaration = {5};
     for (std::uint64_t id = 1; id <= upstreams; ++id) {
         UpstreamEntry entry;
@@ -16,7 +16,7 @@
                      Incarnation{1760000000000 + id * 37}};
         entry.service = ServiceId{static_cast<std::uint32_t>(0x12345678 + id % 2)};
         entry.endpoint = {static_cast<std::uint32_t>(0x0a010000 + id), 8000};
-        snapshot.changes.push_back({{id}, entry});
+        snapshot.changes.push_back({{id, {3}}, entry});
     }
     return snapshot;
 }
