Soak a store that returns from older copies

Its revisions go back, the header Store-Era rises, a watch from a revision that it does not have gets 410, and upstreams and the operator write theirs again.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -63,6 +63,7 @@
         self.random = random.Random(options.seed)
         # Of its own, so that the faults of a seed are the same with and without series.
         self.series_random = random.Random(f"series {options.seed}")
+        self.restore_random = random.Random(f"restore {options.seed}")
         self.options = options
         self.violations = []
         self.counts = {}
@@ -79,7 +80,9 @@
 
 
 class Store:
-    """Keys with revisions; each forwarder reaches it through a listener with a fault of its own."""
+    """Keys with revisions; each forwarder reaches it through a listener with a fault of its own. May
+    return from an older copy of itself, which lacks the last changes and assigns their revisions
+    again."""
 
     def __init__(self, world):
         self.world = world
@@ -87,10 +90,19 @@
         self.events = []
         self.revision = 10
         self.first_kept = 10
+        self.era = 1
+        self.copies = []  # time, revision and items at each change
+        self.is_away = False
+        self.away_fault = "none"
         self.faults = {}
         self.changed = asyncio.Event()
 
     def write(self, key, value):
+        """Acknowledges a change. While the store is away nothing is written: whoever wrote it does so
+        again when the store has returned."""
+        if self.is_away:
+            return False
+        self.copies.append((self.world.now(), self.revision, dict(self.items)))
         self.revision += 1
         if value is None:
             self.items.pop(key, None)
@@ -100,9 +112,24 @@
             event = {"key": key, "value": encoded, "revision": self.revision, "created": 1, "lease": 0}
             self.items[key] = event
         self.events.append(event)
+        self.notify()
+        return True
+
+    def notify(self):
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def restore(self, lost_s):
+        """Returns from the copy of that many seconds ago."""
+        at = self.world.now() - lost_s
+        while len(self.copies) > 1 and self.copies[-1][0] > at:
+            _, self.revision, self.items = self.copies.pop()
+        self.first_kept = min(self.first_kept, self.revision)
+        self.events = [event for event in self.events if event["revision"] <= self.revision]
+        self.era += 1
+        self.is_away = False
+        self.notify()
+
     def forget_history(self):
         self.first_kept = self.revision
         self.events = []
@@ -116,7 +143,8 @@
             while head := await reader.readuntil(b"\r\n\r\n"):
                 target = head.split(b" ")[1].decode()
                 status, body = await self.answer(target)
-                fault = self.faults[index]
+                era = self.era
+                fault = self.away_fault if self.is_away else self.faults[index]
                 if fault == "silent":
                     await asyncio.sleep(3600)
                 if fault == "reset":
@@ -127,7 +155,8 @@
                 if fault in ("busy", "many"):
                     status, body = ("503" if fault == "busy" else "429"), {}
                 text = json.dumps(body).encode()
-                writer.write(f"HTTP/1.1 {status} x\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
+                writer.write(f"HTTP/1.1 {status} x\r\nStore-Era: {era}\r\n"
+                             f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
                 await writer.drain()
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass
@@ -142,15 +171,17 @@
             return ("200", dict(item, as_of=self.revision)) if item else ("404", {})
         if path.endswith("kv-range"):
             return "200", {"items": list(self.items.values()), "truncated": False, "as_of": self.revision}
-        after = int(fields["after"])
-        if after < self.first_kept:
+        after, era = int(fields["after"]), self.era
+        if after < self.first_kept or after > self.revision:
             return "410", {}
         end = time.monotonic() + int(fields["wait_ms"]) / 1000
-        while self.revision <= after and time.monotonic() < end:
+        while self.revision <= after and self.era == era and time.monotonic() < end:
             try:
                 await asyncio.wait_for(self.changed.wait(), end - time.monotonic())
             except asyncio.TimeoutError:
                 break
+        if after > self.revision:
+            return "410", {}
         events = [event for event in self.events if event["revision"] > after]
         return "200", {"events": events, "as_of": self.revision}
 
@@ -192,7 +223,7 @@
 
     def register(self):
         self.sequence += 1
-        self.store.write(self.key(), {
+        return self.store.write(self.key(), {
             "service": self.service, "addr": f"{self.address}:{UPSTREAM_PORT}", "zone": "east",
             "version": "1", "concurrency": 2, "state": self.state, "warmup_left_ms": 0,
             "seq": self.sequence, "born": self.born})
@@ -206,18 +237,29 @@
     async def leave(self):
         """Announces its leaving, serves on for the limit and a little longer, and ends."""
         self.state = "draining"
-        self.register()
+        while not self.register():
+            await asyncio.sleep(0.1)
         self.leaving_since = self.world.now()
         await asyncio.sleep(LEAVING_LIMIT_S + 2)
         self.end()
+        self.state = "gone"
         self.store.write(self.key(), None)
 
     async def crash(self):
         self.disturbed_at = self.world.now()
         self.end()
         await asyncio.sleep(3 * HEARTBEAT_S)
+        self.state = "gone"
         self.store.write(self.key(), None)
 
+    async def write_again(self):
+        """Writes what a restored store may lack."""
+        await asyncio.sleep(self.world.restore_random.uniform(0, HEARTBEAT_S))
+        if self.is_alive:
+            self.register()
+        elif self.state == "gone" and self.key() in self.store.items:
+            self.store.write(self.key(), None)
+
     async def restart(self, down_s):
         """Ends without a sign and starts again under its id; holds nothing of before."""
         self.disturbed_at = self.world.now()
@@ -302,6 +344,7 @@
         self.log = open(f"{folder}/{self.name}.log", "ab")
         self.disturbed_at = 0.0
         self.is_disturbed = False
+        self.is_store_disturbed = False
         self.is_ready = False
         self.misses = 2
         self.proxy = StreamProxy(world.random)
@@ -350,7 +393,7 @@
         self.disturbed_at = self.world.now()
 
     def is_in_touch(self, now):
-        return not self.is_disturbed and now - self.disturbed_at > STABILITY_S
+        return not (self.is_disturbed or self.is_store_disturbed) and now - self.disturbed_at > STABILITY_S
 
     def signal(self, number):
         self.disturb()
@@ -565,6 +608,9 @@
 
     def declare(self):
         self.version += self.random.randrange(1, 4)
+        self.write_declaration()
+
+    def write_declaration(self):
         self.store.write("op/config", {
             "version": self.version, "services": [{"name": "board"}, {"name": "desk"}],
             "limits": {"idle_timeout_ms": 15000},
@@ -618,7 +664,9 @@
             self.store.write(f"servers/i-{self.random.randrange(1, 9):x}ff", {"service": 7})
         elif kind == "declare":
             port = self.random.randrange(9000, 9999)
-            if port not in self.all_routes:
+            if self.store.is_away:
+                self.count("changes not acknowledged")
+            elif port not in self.all_routes:
                 self.routes[port] = "board"
                 self.all_routes[port] = {"board"}
                 self.declare()
@@ -664,6 +712,31 @@
                     asyncio.create_task(draw.choice(self.clients).visit(port))
                 await asyncio.sleep(0.33)
 
+    async def restorations(self):
+        """The store is away for a moment and returns from a copy, again and again."""
+        while not self.is_over:
+            await asyncio.sleep(self.restore_random.uniform(1, 9))
+            # One that has begun is completed, also when the faults end.
+            await asyncio.shield(asyncio.create_task(self.one_restoration()))
+
+    async def one_restoration(self):
+        draw = self.restore_random
+        self.count("restorations")
+        for forwarder in self.forwarders:
+            forwarder.is_store_disturbed = True
+        self.store.is_away = True
+        self.store.away_fault = draw.choice(("silent", "reset", "busy"))
+        lost_s, away_s = draw.uniform(0.05, 8), draw.choice((0.0, draw.uniform(0.1, 3)))
+        await asyncio.sleep(away_s)
+        self.store.restore(lost_s)
+        again = [asyncio.create_task(upstream.write_again()) for upstream in self.upstreams]
+        await asyncio.sleep(draw.uniform(0, 1))
+        self.write_declaration()
+        await asyncio.gather(*again)
+        for forwarder in self.forwarders:
+            forwarder.is_store_disturbed = False
+            forwarder.disturb()
+
     async def end(self):
         """Ends the processes of this run, also after a failure of the soak itself: one that stays
         would join the next run with its addresses."""
@@ -695,14 +768,15 @@
         if self.options.series:
             users += [client.quiet_user(443) for client in self.clients for _ in range(20)]
         tasks = [asyncio.create_task(user) for user in users]
-        series = asyncio.create_task(self.series()) if self.options.series else None
+        series = [asyncio.create_task(each()) for is_chosen, each in (
+            (self.options.series, self.series), (self.options.restore, self.restorations)) if is_chosen]
         end = self.now() + self.options.seconds
         while self.now() < end:
             await asyncio.sleep(self.random.expovariate(1 / self.options.gap))
             await self.one_fault()
             self.last_fault = self.now()
-        if series:
-            series.cancel()
+        for each in series:
+            each.cancel()
         await asyncio.sleep(8)
         recovered = self.now()
         await asyncio.sleep(4)
@@ -726,6 +800,8 @@
     parser.add_argument("--upstreams", type=int, default=4, help="of the service with most traffic")
     parser.add_argument("--series", action="store_true",
                         help="also restarts, rolls and new routes in series, which overlap")
+    parser.add_argument("--restore", action="store_true",
+                        help="also a store that returns from older copies of itself")
     parser.add_argument("--network", type=int, default=81, help="second part of all addresses")
     options = parser.parse_args()
     global network
