Count the confirmation time from the first reading of a new era

A store may name its new era in refusals, before it returns. The time in which nothing that it lacks is certain had then passed when the directory was read, and upstreams that the copy lacks were gone at once. It begins again with the first complete reading of an era. A difference to the state before is recognised by the era of the last complete reading, not by the log, whose changes may all be of the new era.

The era's header may be followed by white space. Found by review.

--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -128,13 +128,16 @@
 {
     m_hooks.reportDirectory(kind, m_listedIds.size(), revision);
     const bool wasComplete = m_directory.isComplete();
+    const bool isNewEra = std::exchange(m_completeEra, revision.era) != revision.era;
+    if (wasComplete && isNewEra) {
+        beginRestoration(now);
+    }
     const std::vector<UpstreamId> removed =
             m_directory.handleCompleteList(std::exchange(m_listedIds, {}), revision, now);
     // Peers need the difference to what was known before the list, which is small, and not the
     // list.
     const bool isDifferenceKnown = wasComplete && kind == StoreCall::Kind::List &&
-                                   removed.size() <= MaxImpliedRemovals &&
-                                   m_changeLog.start().era == revision.era;
+                                   removed.size() <= MaxImpliedRemovals && !isNewEra;
     if (!isDifferenceKnown) {
         m_changeLog.restart(revision);
         return;
@@ -374,9 +377,14 @@
         // The first response of the store.
         return;
     }
+    beginRestoration(now);
+    m_hooks.reportStoreEra(known, current);
+}
+
+void FlowController::beginRestoration(Milliseconds now)
+{
     m_restoredAt = now;
     m_directory.handleStoreRestored(now);
-    m_hooks.reportStoreEra(known, current);
 }
 
 bool FlowController::isRestorationRecent(Milliseconds now) const
--- a/src/core/flow/flowcontroller.h
+++ b/src/core/flow/flowcontroller.h
@@ -123,6 +123,8 @@
     void applyChanges(const DirectoryUpdate &update, StoreRevision known, Milliseconds now);
     void handleNewEra(StoreRevision known, StoreRevision current, Milliseconds now);
     void recordChange(const StoreChange &change);
+    /// Begins the time in which nothing that the store lacks is certain.
+    void beginRestoration(Milliseconds now);
     bool isRestorationRecent(Milliseconds now) const;
     bool isCurrent(Milliseconds now) const;
     void reportUpstream(UpstreamKey key, StoreRevision revision);
@@ -139,8 +141,10 @@
     /// Ids seen in the list being read or in the snapshot.
     std::vector<UpstreamId> m_listedIds;
     bool m_wasStoreUnreachable = false;
-    /// When this instance learned that the store has been restored.
+    /// When this instance learned that the store has been restored, or had read it again.
     std::optional<Milliseconds> m_restoredAt;
+    /// Era in which the directory was last read as a whole.
+    StoreEra m_completeEra;
     bool m_isDeclarationChanged = false;
     bool m_wasCurrent = false;
     std::uint64_t m_viewVersion = 0;
--- a/tests/usersplatform/storeclient_test.cpp
+++ b/tests/usersplatform/storeclient_test.cpp
@@ -188,6 +188,8 @@
     EXPECT_EQ(reply.asOf, (StoreRevision{9, {3}}));
     ASSERT_EQ(reply.changes.size(), 1U);
     EXPECT_EQ(reply.changes[0].revision, (StoreRevision{9, {3}}));
+    response = RawServer::ok(R"({"events":[],"as_of":9})", "200 OK", "Store-Era: 5 \t\r\n");
+    EXPECT_EQ(call(watch(1)).asOf.era, StoreEra{5}) << "white space around the number";
     for (const char *status : {"410 Gone", "503 Busy", "429 Many", "404 Not Found"}) {
         response = RawServer::ok("{}", status, "Store-Era: 4\r\n");
         EXPECT_EQ(call(watch(1)).asOf.era, StoreEra{4}) << status;
