Keep changes in the log that are newer than the list

Cause: a list restarts the log of changes at its revision and dropped all changes in it, those after the list included that a peer had reported, or that a later page had shown. The watch from the list's revision returns them as nothing new, so that they were never logged again: peers got an update that claimed to be complete without them, and kept a leaving upstream as ready (DRAIN).

The log now drops the changes up to the revision only, an update ends at the revision that it claims, and changes of a later era are kept in the log for the time after.

--- a/src/core/flow/changelog.cpp
+++ b/src/core/flow/changelog.cpp
@@ -30,8 +30,9 @@
 
 void ChangeLog::restart(StoreRevision revision)
 {
-    m_changes.clear();
-    m_start = revision;
+    const auto kept = std::upper_bound(m_changes.begin(), m_changes.end(), revision, isAfter);
+    m_changes.erase(m_changes.begin(), kept);
+    m_start = std::max(m_start, revision);
 }
 
 std::vector<DirectoryUpdate> ChangeLog::updatesSince(StoreRevision known, StoreRevision to) const
@@ -61,13 +62,14 @@
     update.from = m_start;
     update.to = to;
     auto begin = m_changes.begin();
-    if (m_changes.size() > MaxDirectoryUpdateChanges) {
-        begin = m_changes.end() - static_cast<std::ptrdiff_t>(MaxDirectoryUpdateChanges);
+    const auto end = std::upper_bound(m_changes.begin(), m_changes.end(), to, isAfter);
+    if (end - begin > static_cast<std::ptrdiff_t>(MaxDirectoryUpdateChanges)) {
+        begin = end - static_cast<std::ptrdiff_t>(MaxDirectoryUpdateChanges);
         update.from = std::prev(begin)->revision;
         // Changes of the revision before the first one kept are left out as a whole.
-        begin = std::upper_bound(begin, m_changes.end(), update.from, isAfter);
+        begin = std::upper_bound(begin, end, update.from, isAfter);
     }
-    update.changes.assign(begin, m_changes.end());
+    update.changes.assign(begin, end);
     return update;
 }
 
--- a/src/core/flow/changelog.h
+++ b/src/core/flow/changelog.h
@@ -16,7 +16,8 @@
     /// Adds a change of an upstream. Its revision may be lower than that of the last one added, but
     /// not than start().
     void record(const StoreChange &change);
-    /// Drops all changes. From now on, the log contains all changes after @p revision.
+    /// Drops the changes up to @p revision. From now on, the log contains all changes after it,
+    /// those included that are known already.
     void restart(StoreRevision revision);
 
     /// The log contains all changes after this revision.
--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -153,7 +153,7 @@
     if (const auto *entry = std::get_if<UpstreamEntry>(&change.content)) {
         m_directory.handleEntry(*entry, change.revision, now);
         if (m_directory.version() != version) {
-            recordChange(change);
+            m_changeLog.record(change);
             reportUpstream(entry->key, change.revision);
         }
         return;
@@ -165,7 +165,7 @@
         const auto key = m_directory.present(removal->id);
         m_directory.handleRemoval(removal->id, change.revision, now);
         if (key && m_directory.version() != version) {
-            recordChange(change);
+            m_changeLog.record(change);
             reportUpstream(*key, change.revision);
         }
         return;
@@ -177,14 +177,6 @@
     applyDeclaration(std::get<DeclaredRoutes>(change.content), change.revision);
 }
 
-// The log is of one era; a change of a later one that a peer reports is not part of it.
-void FlowController::recordChange(const StoreChange &change)
-{
-    if (change.revision.era == m_reader.revision().era) {
-        m_changeLog.record(change);
-    }
-}
-
 // The first list is reported as a whole, by reportDirectory.
 void FlowController::reportUpstream(UpstreamKey key, StoreRevision revision)
 {
--- a/src/core/flow/flowcontroller.h
+++ b/src/core/flow/flowcontroller.h
@@ -122,7 +122,6 @@
     void applyAhead(const DirectoryUpdate &update, Milliseconds now);
     void applyChanges(const DirectoryUpdate &update, StoreRevision known, Milliseconds now);
     void handleNewEra(StoreRevision known, StoreRevision current, Milliseconds now);
-    void recordChange(const StoreChange &change);
     /// Begins the time in which nothing that the store lacks is certain.
     void beginRestoration(Milliseconds now);
     bool isRestorationRecent(Milliseconds now) const;
--- a/tests/core/flow/changelog_test.cpp
+++ b/tests/core/flow/changelog_test.cpp
@@ -139,5 +139,30 @@
     EXPECT_EQ(gap.next(2_s), GapRecovery::Step::Wait);
 }
 
+// Guards against changes that peers never get: they were known before the list that restarts the
+// log, and a watch from its revision returns them as nothing new.
+TEST_F(ChangeLogTest, KeepsChangesAfterTheRevisionOfARestart)
+{
+    log.restart({10});
+    record(11, 14);
+    log.restart({12});
+    EXPECT_EQ(log.start(), StoreRevision{12});
+    const auto updates = log.updatesSince({12}, {20});
+    ASSERT_EQ(countChanges(updates), 2U);
+    EXPECT_EQ(updates.front().changes.front().revision, StoreRevision{13});
+}
+
+// Guards against changes of a later era in an update that is complete up to an earlier one.
+TEST_F(ChangeLogTest, LeavesOutChangesAfterTheEndOfAnUpdate)
+{
+    log.restart({10, {1}});
+    log.record({{11, {1}}, makeEntry(1)});
+    log.record({{5, {2}}, makeEntry(2)});
+    const DirectoryUpdate latest = log.latest({12, {1}});
+    ASSERT_EQ(latest.changes.size(), 1U);
+    EXPECT_EQ(latest.changes.front().revision, (StoreRevision{11, {1}}));
+    EXPECT_EQ(countChanges(log.updatesSince({10, {1}}, {12, {1}})), 1U);
+}
+
 } // namespace
 } // namespace damaskhall
