Pass on what is written again after a restoration

Cause: a change was passed on to peers only if it changed what this instance held. A leaving upstream stays leaving, so that its sign, written again after a restoration, was no news to readers that had known it, and peers that had not, or that started on the copy, kept it as ready (DRAIN). Class: the own state taken for that of the peers.

The directory now compares with the last entry in the store. LeavingIsToldAgainWhenItIsWrittenAgain guards it.

--- a/src/core/flow/upstreamdirectory.cpp
+++ b/src/core/flow/upstreamdirectory.cpp
@@ -30,8 +30,12 @@
     }
     IdState &idState = m_idStates[entry.key.id];
     const std::optional<UpstreamKey> previous = std::exchange(idState.lastKey, entry.key);
-    // Peers are told of changes of the version, and need each one that changes what is present.
-    m_version += idState.hasEntry && previous == entry.key ? 0 : 1;
+    // Peers are told of changes of the version, and need each one that changes what the store says:
+    // they may not know what this instance knew before.
+    const bool isRepeated =
+            idState.hasEntry && previous == entry.key && idState.hasLeavingEntry == entry.isLeaving;
+    m_version += isRepeated ? 0 : 1;
+    idState.hasLeavingEntry = entry.isLeaving;
     m_entryCount += idState.hasEntry ? 0 : 1;
     idState.hasEntry = true;
     storeEntry(entry, now);
--- a/src/core/flow/upstreamdirectory.h
+++ b/src/core/flow/upstreamdirectory.h
@@ -91,6 +91,9 @@
         /// Incarnation named by the last entry.
         std::optional<UpstreamKey> lastKey;
         bool hasEntry = false;
+        /// Whether the last entry announced that the upstream is leaving; its record stays leaving
+        /// if a later one does not.
+        bool hasLeavingEntry = false;
     };
 
     bool advanceRevision(UpstreamId id, StoreRevision revision);
--- a/tests/core/flow/restoredstore_test.cpp
+++ b/tests/core/flow/restoredstore_test.cpp
@@ -180,5 +180,24 @@
     EXPECT_EQ(cluster.count(makeEntry(3), UpstreamHealth::Gone), Size);
 }
 
+// Guards against an instance that started on the copy and is never told of a leaving upstream: the
+// readers knew that before and saw nothing new when it was written again.
+TEST_F(RestoredStore, LeavingIsToldAgainWhenItIsWrittenAgain)
+{
+    const StoreRevision copy = cluster.revision();
+    runFor(1_s);
+    cluster.write(leaving(1));
+    runFor(2_s);
+    restoreAfterOutage(copy, 500_ms);
+    const int started = cluster.isReader(7) ? 8 : 7;
+    cluster.kill(started);
+    cluster.start(started);
+    runFor(1500_ms);
+    ASSERT_TRUE(cluster.knows(started, makeEntry(1), UpstreamHealth::Ready)) << "as the copy says";
+    cluster.write(leaving(1));
+    runFor(LeavingLimit);
+    EXPECT_EQ(cluster.count(makeEntry(1), UpstreamHealth::Leaving), Size);
+}
+
 } // namespace
 } // namespace damaskhall
