Go on watching while a declaration is missing in the store

Before, such a declaration could be missing only for as long as a stale read is old; a restored store may lack it until operators write it again.

The read that cannot be stale is repeated twice a second, and watches are due in between. A declaration does not wait for the next watch either. RequestsDeclarationByStaleReadFirstAndAtALimitedRate asserted at least 100 ms between two reads; it asserts 500 ms now, and at most one second.

--- a/src/core/flow/storereader.cpp
+++ b/src/core/flow/storereader.cpp
@@ -12,6 +12,9 @@
 /// Limits the time from the store's recovery to the first read to less than a second.
 constexpr Milliseconds MaxRetryDelay = 800_ms;
 constexpr std::uint32_t MaxDelayDoublings = 3;
+/// Time between two reads of a declaration that is known to exist, but that a restored store lacks.
+/// Watches go on in between.
+constexpr Milliseconds DeclarationReadInterval = 500_ms;
 /// A follower reads when the last confirmation is older than this many confirmation intervals, plus
 /// a random share of FollowerTimeoutSpread. Two readers confirm once per interval each, so several
 /// of their updates have failed to arrive by then.
@@ -115,13 +118,17 @@
 
 std::optional<StoreCall> StoreReader::next(Milliseconds now)
 {
-    if (m_isPending || now < m_due) {
+    const bool isNewerRequested =
+            m_requestedDeclaration > m_declaration && now >= m_nextDeclarationRead;
+    const bool isDeclarationDue =
+            isFollowing() && (m_isCurrentDeclarationRequested || isNewerRequested);
+    // A declaration does not wait for the next watch, but for the delay of a failed call.
+    const bool isWaitOver = now >= m_due || (isDeclarationDue && m_failures == 0);
+    if (m_isPending || !isWaitOver) {
         return std::nullopt;
     }
     StoreCall call;
     call.after.era = m_after.era;
-    const bool isDeclarationDue = isFollowing() && (m_isCurrentDeclarationRequested ||
-                                                    m_requestedDeclaration > m_declaration);
     if (!isDeclarationDue && !isSnapshotDue(now) && isCoveredByPeers(now)) {
         return std::nullopt;
     }
@@ -238,6 +245,8 @@
     if (m_kind == StoreCall::Kind::Declaration) {
         // If it was stale or cannot be decoded, it is requested again after a delay.
         m_due = now + InitialRetryDelay;
+        m_nextDeclarationRead =
+                now + (m_isStaleAllowed ? InitialRetryDelay : DeclarationReadInterval);
         return outcome;
     }
     if (m_kind == StoreCall::Kind::Snapshot) {
@@ -263,6 +272,7 @@
 {
     const bool hasRead = m_phase != Phase::Snapshot || m_listRevision;
     m_after = {0, era};
+    m_listDraws = 0;
     restartReading(Phase::Snapshot);
     return hasRead;
 }
@@ -430,6 +440,7 @@
     if (revision > m_requestedDeclaration) {
         m_requestedDeclaration = revision;
         m_hasTriedStaleRead = false;
+        m_nextDeclarationRead = {};
     }
 }
 
--- a/src/core/flow/storereader.h
+++ b/src/core/flow/storereader.h
@@ -243,6 +243,8 @@
     std::optional<StoreCall::Reason> m_requestedReason;
     Revision m_declaration;
     Revision m_requestedDeclaration;
+    /// The requested declaration is not read before, unless a newer one is requested.
+    Milliseconds m_nextDeclarationRead;
     /// A stale read of the requested declaration has been tried.
     bool m_hasTriedStaleRead = false;
     bool m_isCurrentDeclarationRequested = false;
--- a/tests/core/flow/restoredstore_test.cpp
+++ b/tests/core/flow/restoredstore_test.cpp
@@ -199,5 +199,35 @@
     EXPECT_EQ(cluster.count(makeEntry(1), UpstreamHealth::Leaving), Size);
 }
 
+// Guards against watches that wait until a declaration is there again that the store has lost.
+TEST_F(RestoredStore, LeavingIsNoticedWhileADeclarationIsMissing)
+{
+    const StoreRevision copy = cluster.revision();
+    runFor(1_s);
+    cluster.declare(5);
+    runFor(2_s);
+    restoreAfterOutage(copy, 500_ms);
+    for (int i = 0; i < Size; ++i) {
+        cluster.kill(i);
+        cluster.start(i);
+    }
+    // All instances start on the copy, and know from a peer that a later declaration exists.
+    runFor(1_s);
+    DirectoryUpdate update;
+    update.declaration = {5};
+    for (int i = 0; i < Size; ++i) {
+        cluster.controller(i).handleDirectoryUpdate(update, {}, cluster.events.now());
+    }
+    cluster.calls = 0;
+    cluster.write(leaving(1));
+    runFor(LeavingLimit);
+    EXPECT_EQ(countDeclaration({2}), Size);
+    EXPECT_EQ(cluster.count(makeEntry(1), UpstreamHealth::Leaving), Size);
+    EXPECT_LE(cluster.calls, Size * 3 * 3) << "two reads a second, and watches";
+    cluster.declare(5);
+    runFor(LeavingLimit);
+    EXPECT_EQ(countDeclaration({5}), Size);
+}
+
 } // namespace
 } // namespace damaskhall
--- a/tests/core/flow/storereader_test.cpp
+++ b/tests/core/flow/storereader_test.cpp
@@ -172,8 +172,14 @@
     EXPECT_GE(now - asked, 100_ms);
     asked = now;
     completeCall(StoreOutcome::Done);
-    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::Declaration);
-    EXPECT_GE(now - asked, 100_ms);
+    StoreCall next = awaitCall();
+    while (next.kind == StoreCall::Kind::Watch) {
+        completeCall(StoreOutcome::Done, 100);
+        next = awaitCall();
+    }
+    EXPECT_EQ(next.kind, StoreCall::Kind::Declaration);
+    EXPECT_GE(now - asked, 500_ms);
+    EXPECT_LE(now - asked, 1_s);
     reader.setDeclaration({7});
     completeCall(StoreOutcome::Done);
     reader.handleDirectoryUpdate({120}, now, now);
@@ -409,6 +415,28 @@
     EXPECT_EQ(now, reported);
 }
 
+// Guards against watches that wait until a declaration is there again that the store has lost: a
+// leaving upstream would not be noticed meanwhile.
+TEST_F(StoreReaderEra, IsWatchedWhileADeclarationIsMissing)
+{
+    awaitCall();
+    completeCall(StoreOutcome::Done, 101);
+    reader.setDeclaration({5});
+    reader.requestDeclaration({7});
+    int watches = 0;
+    int declarations = 0;
+    const Milliseconds begin = now;
+    while (now - begin < 10_s) {
+        const StoreCall call = awaitCall();
+        watches += call.kind == StoreCall::Kind::Watch ? 1 : 0;
+        declarations += call.kind == StoreCall::Kind::Declaration ? 1 : 0;
+        completeCall(StoreOutcome::Done, 101);
+    }
+    EXPECT_GE(watches, 10);
+    EXPECT_GE(declarations, 18);
+    EXPECT_LE(declarations, 22) << "two a second";
+}
+
 // Guards against a list whose pages show the store before and after a restoration.
 TEST_F(StoreReaderEra, BeginsAListAgain)
 {
