Do not reset a flow while a newer declaration is known to exist

Cause: a read that confirms the declaration in force proves that a missing route was removed, unless the store has been restored to it. A peer may know a later declaration with the route; opening packets heeded that, resets of open flows did not (FLOW). Found by review: the second packet of such a flow was reset.

The test ContinuesWhileANewerDeclarationIsKnownToExist guards it.

--- a/src/core/flow/flowrouter.cpp
+++ b/src/core/flow/flowrouter.cpp
@@ -117,11 +117,13 @@
 
 // Precondition: the declaration in force lacks the flow's route. As declarations are applied in
 // ascending order, the route was removed if an earlier one had it, or if the flow is older than the
-// read that confirmed this one.
+// read that confirmed this one. A newer one that the store has lost may have it.
 bool FlowRouter::isRouteRemoved(const Flow &flow) const
 {
-    return flow.wasRouteDeclared || (m_declarationState.confirmed == m_view->routes().revision &&
-                                     m_declarationState.confirmedAt > flow.firstSeen);
+    const Revision inForce = m_view->routes().revision;
+    return flow.wasRouteDeclared ||
+           (m_declarationState.confirmed == inForce && m_declarationState.newest <= inForce &&
+            m_declarationState.confirmedAt > flow.firstSeen);
 }
 
 void FlowRouter::requestConfirmation(Milliseconds now)
--- a/tests/core/flow/flowrouter_test.cpp
+++ b/tests/core/flow/flowrouter_test.cpp
@@ -333,6 +333,18 @@
     EXPECT_EQ(fixture.confirmationRequests, 2);
 }
 
+// Guards against the reset of a live flow on the word of a restored store that has lost the
+// declaration with its route, although a peer knows that one.
+TEST_F(FlowMissingRoute, ContinuesWhileANewerDeclarationIsKnownToExist)
+{
+    EXPECT_EQ(sendRequest().reason, FlowReason::Recovered);
+    fixture.now += 1_s;
+    fixture.router.handleDeclarationState({{7}, {1}, fixture.now});
+    EXPECT_EQ(sendRequest().reason, FlowReason::Established);
+    confirm(1, fixture.now);
+    EXPECT_EQ(sendRequest().reason, FlowReason::RouteRemoved) << "no newer one exists";
+}
+
 // Guards against a declaration that is taken for the current one although it was read, or
 // confirmed, before the flow came.
 TEST_F(FlowMissingRoute, ContinuesIfTheDeclarationWasConfirmedBefore)
