--- a/tests/core/flow/flowcontroller_test.cpp
+++ b/tests/core/flow/flowcontroller_test.cpp
@@ -475,6 +475,55 @@
     EXPECT_EQ(health(makeEntry(1)), UpstreamHealth::Leaving) << "its list is older";
 }
 
+// Guards against changes that the peers of a reader miss for good: one that another peer reports
+// before the reader's list, which is older, is no news to the reader in its next watch.
+TEST_F(FlowControllerEra, ChangesReportedBeforeTheListAreDistributed)
+{
+    reply(inEra({2}, done(70)));
+    reply(inEra({2}, done(0)));
+    awaitCall();
+    DirectoryUpdate update = updateOfEra({2}, 60, 75);
+    UpstreamEntry leaving = makeEntry(1);
+    leaving.isLeaving = true;
+    update.changes = {{{74, {2}}, leaving}};
+    controller.handleDirectoryUpdate(update, Peer, now);
+    controller.handleReply(inEra({2}, done(73, {{{40}, makeEntry(1)}})), now);
+    controller.takeDirectoryUpdates(now);
+    reply(inEra({2}, done(76, {{{74}, leaving}})));
+    const std::vector<DirectoryUpdate> updates = controller.takeDirectoryUpdates(now);
+    ASSERT_EQ(updates.size(), 1U);
+    EXPECT_EQ(updates.front().to, (StoreRevision{76, {2}}));
+    EXPECT_EQ(updates.front().changes.size(), 1U);
+    EXPECT_EQ(controller.answerChangesRequest({{73, {2}}}, now).front().changes.size(), 1U);
+}
+
+// Guards against new flows at a leaving upstream at the peers of a reader: they may know only the
+// copy, while the reader knew before the restoration what the upstream writes again.
+TEST_F(FlowControllerEra, WhatIsWrittenAgainIsDistributed)
+{
+    UpstreamEntry leaving = makeEntry(1);
+    leaving.isLeaving = true;
+    reply(inEra({1}, done(110, {{{105}, leaving}})));
+    readAgain(done(75, {{{40}, makeEntry(1)}}));
+    controller.takeDirectoryUpdates(now);
+    reply(inEra({2}, done(80, {{{78}, leaving}})));
+    const std::vector<DirectoryUpdate> updates = controller.takeDirectoryUpdates(now);
+    ASSERT_EQ(updates.size(), 1U);
+    EXPECT_EQ(updates.front().changes.size(), 1U);
+}
+
+// Guards against requests to peers for changes of an earlier era, which nobody needs any more.
+TEST_F(FlowControllerEra, MissingChangesOfAnEarlierOneAreNotRequested)
+{
+    controller.setReader(false, 1);
+    controller.handleDirectoryUpdate(updateOfEra({1}, 150, 200), Peer, now);
+    EXPECT_TRUE(controller.takeChangesRequest(now));
+    controller.handleDirectoryUpdate(updateOfEra({2}, 60, 72), Peer, now);
+    readAgain(done(75, {{{40}, makeEntry(1)}, declared(50, 3)}));
+    now += 10_s;
+    EXPECT_FALSE(controller.takeChangesRequest(now));
+}
+
 // Guards against updates of peers that have not noticed yet.
 TEST_F(FlowControllerEra, UpdatesOfAnEarlierOneAreIgnored)
 {
--- a/tests/core/flow/storereader_test.cpp
+++ b/tests/core/flow/storereader_test.cpp
@@ -376,6 +376,47 @@
     EXPECT_EQ(awaitCall().kind, StoreCall::Kind::List);
 }
 
+// Guards against a new era that goes unnoticed because the call that shows it returns no changes.
+TEST_F(StoreReaderEra, IsNoticedByAReadOfTheDeclaration)
+{
+    reader.setDeclaration({3});
+    reader.requestDeclaration({4});
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::Declaration);
+    era = {2};
+    EXPECT_EQ(completeCall(StoreOutcome::Done, 90), StoreOutcome::HistoryLost);
+    EXPECT_FALSE(reader.isFollowing());
+    replyWithoutSnapshot();
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::List);
+    completeCall(StoreOutcome::Done, 91);
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::Declaration) << "it is still requested";
+}
+
+// Guards against a snapshot of the era before that is saved and followed by nothing.
+TEST_F(StoreReaderEra, IsNoticedWhenASnapshotIsSaved)
+{
+    reader.setDirectorySize(3000);
+    while (awaitCall().kind != StoreCall::Kind::SaveSnapshot) {
+        completeCall(StoreOutcome::Done, 101);
+    }
+    era = {2};
+    EXPECT_EQ(completeCall(StoreOutcome::Done), StoreOutcome::HistoryLost);
+    EXPECT_FALSE(reader.isFollowing());
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::Snapshot);
+}
+
+// Guards against a store that is read again for each update of a peer while it refuses the calls.
+TEST_F(StoreReaderEra, ReportsOfPeersDoNotShortenTheDelayOfAFailedCall)
+{
+    reader.setFollower(true);
+    reader.handleNewEraReport(now);
+    EXPECT_EQ(awaitCall().reason, StoreCall::Reason::NewEra);
+    completeCall(StoreOutcome::Unanswered);
+    const Milliseconds failed = now;
+    reader.handleNewEraReport(now);
+    EXPECT_EQ(awaitCall().reason, StoreCall::Reason::Retry);
+    EXPECT_GE(now - failed, 50_ms);
+}
+
 // Guards against a response from before the restoration that is taken for a later state.
 TEST_F(StoreReaderEra, ResponsesOfAnEarlierOneAreNotUsed)
 {
--- a/tests/core/flow/upstreamdirectory_test.cpp
+++ b/tests/core/flow/upstreamdirectory_test.cpp
@@ -211,6 +211,66 @@
     EXPECT_EQ(health(newer), UpstreamHealth::Ready) << "written after the list was read";
 }
 
+// Guards against reports that are ignored because the store has assigned their revisions before.
+TEST_F(UpstreamDirectoryTest, ReportsOfALaterEraAreNewer)
+{
+    directory.handleEntry(first, {90, {1}}, now);
+    directory.handleRemoval(first.key.id, {50, {2}}, now);
+    EXPECT_EQ(health(first), UpstreamHealth::Gone);
+    directory.handleEntry(first, {95, {1}}, now);
+    EXPECT_EQ(health(first), UpstreamHealth::Gone) << "the report is of the earlier era";
+    directory.handleEntry(first, {51, {2}}, now);
+    EXPECT_EQ(health(first), UpstreamHealth::Ready);
+    directory.handleCompleteList({}, {200, {1}}, now);
+    EXPECT_EQ(health(first), UpstreamHealth::Ready) << "so is the list";
+}
+
+// Guards against new flows at a leaving upstream that a copy of the store shows as ready.
+TEST_F(UpstreamDirectoryTest, KeepsALeavingUpstreamLeavingInALaterEra)
+{
+    const UpstreamEntry left = makeEntry(2);
+    directory.handleEntry(leaving(first), {90, {1}}, now);
+    directory.handleEntry(leaving(left), {91, {1}}, now);
+    directory.handleRemoval(left.key.id, {92, {1}}, now);
+    directory.handleStoreRestored(now);
+    directory.handleEntry(first, {40, {2}}, now);
+    directory.handleEntry(left, {41, {2}}, now);
+    EXPECT_EQ(health(first), UpstreamHealth::Leaving);
+    EXPECT_EQ(health(left), UpstreamHealth::Leaving);
+}
+
+// Guards against new flows at a leaving upstream whose report from before the restoration arrives
+// after the list.
+TEST_F(UpstreamDirectoryTest, KnowsAnUpstreamThatWasLeavingInTheEarlierEra)
+{
+    directory.handleEntry(first, {40, {2}}, now);
+    directory.handleEntry(leaving(first), {90, {1}}, now);
+    EXPECT_EQ(health(first), UpstreamHealth::Leaving);
+}
+
+// Guards against resets of the flows of an upstream whose entry the copy of the store lacks.
+TEST_F(UpstreamDirectoryTest, KeepsUpstreamsUnconfirmedThatACopyLacks)
+{
+    const UpstreamEntry left = leaving(makeEntry(2));
+    const UpstreamEntry returning = makeEntry(3);
+    directory.handleEntry(first, {90, {1}}, now);
+    directory.handleEntry(left, {91, {1}}, now);
+    directory.handleEntry(returning, {92, {1}}, now);
+    directory.handleStoreRestored(now);
+    directory.handleCompleteList({}, {75, {2}}, now);
+    EXPECT_EQ(health(first), UpstreamHealth::Unconfirmed);
+    EXPECT_EQ(health(left), UpstreamHealth::Gone) << "it had announced its leaving";
+    now += 1900_ms;
+    directory.tick(now);
+    directory.handleEntry(returning, {80, {2}}, now);
+    EXPECT_EQ(health(first), UpstreamHealth::Unconfirmed);
+    EXPECT_EQ(health(returning), UpstreamHealth::Ready);
+    now += 200_ms;
+    directory.tick(now);
+    EXPECT_EQ(health(first), UpstreamHealth::Gone);
+    EXPECT_EQ(health(returning), UpstreamHealth::Ready);
+}
+
 // Guards against a directory that grows with each replaced upstream.
 TEST_F(UpstreamDirectoryTest, RemovesRecordsAfterTheFlowLifetime)
 {
--- a/tests/support/peercluster.h
+++ b/tests/support/peercluster.h
@@ -147,6 +147,8 @@
     double loss = 0;
     /// Instances whose calls the store refuses.
     std::set<int> refused;
+    /// Refusals name the era of the store.
+    bool areErasInRefusals = false;
     /// Instances that exchange no datagrams with others.
     std::set<int> cutOff;
     /// Calls of each kind and reason since the start.
@@ -197,17 +199,26 @@
         ++calls;
         ++callsByReason[{call->kind, call->reason}];
         const int start = node.start;
-        events.schedule(events.now() + StoreDelay, [this, index, start, call = *call] {
-            Node &caller = m_nodes[static_cast<std::size_t>(index)];
-            if (!caller.isUp || caller.start != start) {
-                return;
-            }
-            caller.controller->handleReply(makeReply(index, call), events.now());
-            publishUpdates(index);
-            startDueCall(index);
+        // An update of a peer may overtake the response.
+        events.schedule(events.now() + StoreDelay / 2, [this, index, start, call = *call] {
+            events.schedule(events.now() + StoreDelay / 2,
+                            [this, index, start, reply = makeReply(index, call)] {
+                                receiveReply(index, start, reply);
+                            });
         });
     }
 
+    void receiveReply(int index, int start, const StoreReply &reply)
+    {
+        Node &node = m_nodes[static_cast<std::size_t>(index)];
+        if (!node.isUp || node.start != start) {
+            return;
+        }
+        node.controller->handleReply(reply, events.now());
+        publishUpdates(index);
+        startDueCall(index);
+    }
+
     void publishUpdates(int index)
     {
         Node &node = m_nodes[static_cast<std::size_t>(index)];
@@ -240,6 +251,7 @@
         StoreReply reply;
         if (refused.contains(index)) {
             reply.outcome = StoreOutcome::Refused;
+            reply.asOf.era = areErasInRefusals ? m_era : call.after.era;
             return reply;
         }
         reply.asOf.era = m_era;
