Judge what was known before a restoration, and change routes around it

Nothing used the routes that the fault "declare" adds, and whatever a copy lacked was written again so late that the forwarders read the store first.

- What was written more than 4 s before the store went away is judged throughout: removed routes, upstreams that are leaving, open flows, openings to known routes.
- A route is added or removed just before a restoration or with the writes after it.
Users open flows to such routes, also to removed ones.
- After a short loss that is written again at once, the store passes the known revisions before it is read again.
Waiting watches end when the store goes away.
A declaration is written again only if the copy lacks it.
The task is awaited: an error in it ends the run with an error.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -25,6 +25,7 @@
 PACKET_PORT = 7000
 STATUS_PORT = 7001
 PEER_PORT = 7002
+RESTORE_PORT = 20000  # first port of the routes that are changed around restorations
 UPSTREAM_PORT = 8000
 STORE_PORT = 9000
 LEAVING_LIMIT_S = 3.0
@@ -63,6 +64,7 @@
         self.random = random.Random(options.seed)
         # Of its own, so that the faults of a seed are the same with and without series.
         self.series_random = random.Random(f"series {options.seed}")
+        # Used by the restorations alone, so that a seed fixes their times and losses.
         self.restore_random = random.Random(f"restore {options.seed}")
         self.options = options
         self.violations = []
@@ -94,6 +96,8 @@
         self.copies = []  # time, revision and items at each change
         self.is_away = False
         self.away_fault = "none"
+        # What was written since the first time may not be known everywhere before the second.
+        self.unsettled_from, self.settled_at = 0.0, 0.0
         self.faults = {}
         self.changed = asyncio.Event()
 
@@ -119,9 +123,15 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def restore(self, lost_s):
-        """Returns from the copy of that many seconds ago."""
-        at = self.world.now() - lost_s
+    def go_away(self, fault):
+        if self.world.now() >= self.settled_at:
+            self.unsettled_from = self.world.now()
+        self.settled_at = float("inf")
+        self.is_away, self.away_fault = True, fault
+        self.notify()  # waiting watches end with the fault
+
+    def restore(self, at):
+        """Returns from the copy of that time."""
         while len(self.copies) > 1 and self.copies[-1][0] > at:
             _, self.revision, self.items = self.copies.pop()
         self.first_kept = min(self.first_kept, self.revision)
@@ -130,6 +140,9 @@
         self.is_away = False
         self.notify()
 
+    def value(self, key):
+        return json.loads(base64.b64decode(self.items[key]["value"]))
+
     def forget_history(self):
         self.first_kept = self.revision
         self.events = []
@@ -175,7 +188,7 @@
         if after < self.first_kept or after > self.revision:
             return "410", {}
         end = time.monotonic() + int(fields["wait_ms"]) / 1000
-        while self.revision <= after and self.era == era and time.monotonic() < end:
+        while self.revision <= after and self.era == era and not self.is_away and time.monotonic() < end:
             try:
                 await asyncio.wait_for(self.changed.wait(), end - time.monotonic())
             except asyncio.TimeoutError:
@@ -240,7 +253,8 @@
         while not self.register():
             await asyncio.sleep(0.1)
         self.leaving_since = self.world.now()
-        await asyncio.sleep(LEAVING_LIMIT_S + 2)
+        # With restorations long enough for one that loses a sign of leaving that was known everywhere.
+        await asyncio.sleep(LEAVING_LIMIT_S + (10 if self.world.options.restore else 2))
         self.end()
         self.state = "gone"
         self.store.write(self.key(), None)
@@ -252,9 +266,9 @@
         self.state = "gone"
         self.store.write(self.key(), None)
 
-    async def write_again(self):
+    async def write_again(self, limit):
         """Writes what a restored store may lack."""
-        await asyncio.sleep(self.world.restore_random.uniform(0, HEARTBEAT_S))
+        await asyncio.sleep(self.world.restore_random.uniform(0, limit))
         if self.is_alive:
             self.register()
         elif self.state == "gone" and self.key() in self.store.items:
@@ -324,12 +338,14 @@
         now = world.now()
         if self.service not in world.services_ever(flow[2], flow[3]):
             world.violate("route", f"{self.key()} of {self.service} got a flow to port {flow[3]}")
-        if forwarder is None or not forwarder.is_in_touch(now):
+        if forwarder is None:
             return
         removed = world.removed_at.get(flow[3])
-        if removed is not None and now - removed > DECLARATION_LIMIT_S + CHECK_SLACK_S:
+        if removed is not None and now - removed > DECLARATION_LIMIT_S + CHECK_SLACK_S and \
+                forwarder.is_in_touch(now, removed):
             world.violate("declaration", f"{forwarder.name} used port {flow[3]} {now - removed:.2f} s after its removal")
-        if self.leaving_since is not None and now - self.leaving_since > LEAVING_LIMIT_S + CHECK_SLACK_S:
+        if self.leaving_since is not None and now - self.leaving_since > LEAVING_LIMIT_S + CHECK_SLACK_S and \
+                forwarder.is_in_touch(now, self.leaving_since):
             world.violate("leaving", f"{forwarder.name} opened a flow {now - self.leaving_since:.2f} s later")
 
 
@@ -344,7 +360,6 @@
         self.log = open(f"{folder}/{self.name}.log", "ab")
         self.disturbed_at = 0.0
         self.is_disturbed = False
-        self.is_store_disturbed = False
         self.is_ready = False
         self.misses = 2
         self.proxy = StreamProxy(world.random)
@@ -392,8 +407,14 @@
     def disturb(self):
         self.disturbed_at = self.world.now()
 
-    def is_in_touch(self, now):
-        return not (self.is_disturbed or self.is_store_disturbed) and now - self.disturbed_at > STABILITY_S
+    def is_in_touch(self, now, since):
+        """Whether it must act on what was written at that time. What was known before the store went
+        away stays known while the store returns from a copy that lacks it."""
+        if now < self.store.settled_at:
+            now = self.store.unsettled_from
+            if now - since <= STABILITY_S:
+                return False
+        return not self.is_disturbed and now - self.disturbed_at > STABILITY_S
 
     def signal(self, number):
         self.disturb()
@@ -473,11 +494,11 @@
             removed = world.removed_at.get(flow["route"])
             added = world.added_at.get(flow["route"], 0.0)
             if removed is None and now - added > DECLARATION_LIMIT_S + CHECK_SLACK_S and \
-                    forwarder.is_in_touch(now) and world.has_upstream(flow["route"]):
+                    forwarder.is_in_touch(now, added) and world.has_upstream(flow["route"]):
                 world.violate("declaration", f"reset of an opening to port {flow['route']}")
             return
         if upstream and upstream.is_alive and now - upstream.disturbed_at > STABILITY_S and \
-                flow["route"] not in world.removed_at and forwarder.is_in_touch(now):
+                flow["route"] not in world.removed_at and forwarder.is_in_touch(now, flow["opened"]):
             world.violate("flow", f"reset of an open flow at {upstream.key()} by {forwarder.name}")
 
     def send(self, flow, flags, body):
@@ -567,6 +588,14 @@
             await asyncio.sleep(self.world.series_random.uniform(0.05, 0.12))
         self.close(flow)
 
+    async def route_user(self):
+        """Opens flows to routes that are changed around restorations, also to those removed since."""
+        while not self.world.is_over:
+            await asyncio.sleep(self.world.series_random.expovariate(4))
+            ports = [port for port in self.world.all_routes if port >= RESTORE_PORT]
+            if ports:
+                await self.visit(self.world.series_random.choice(ports[-8:]))
+
     async def short_user(self, route):
         while not self.world.is_over:
             await asyncio.sleep(self.world.random.expovariate(4))
@@ -583,6 +612,8 @@
         self.results = []
         self.store = Store(self)
         self.routes = {443: "board", 8443: "desk"}
+        if options.restore:
+            self.routes |= {RESTORE_PORT + i: "board" for i in range(4)}
         self.all_routes = {port: {service} for port, service in self.routes.items()}
         self.removed_at, self.added_at, self.version = {}, {}, 1
         self.forwarders = [Forwarder(self, self.store, i + 1, folder) for i in range(options.forwarders)]
@@ -712,30 +743,52 @@
                     asyncio.create_task(draw.choice(self.clients).visit(port))
                 await asyncio.sleep(0.33)
 
-    async def restorations(self):
+    async def restorations(self, end):
         """The store is away for a moment and returns from a copy, again and again."""
-        while not self.is_over:
-            await asyncio.sleep(self.restore_random.uniform(1, 9))
-            # One that has begun is completed, also when the faults end.
-            await asyncio.shield(asyncio.create_task(self.one_restoration()))
+        while True:
+            await asyncio.sleep(self.restore_random.uniform(0.5, 7))
+            if self.now() > end:
+                return
+            await self.one_restoration()
+
+    def change_routes(self):
+        """A change that the copy lacks or whose revision was assigned before. Upstreams repeat theirs in
+        each heartbeat; this one is written again only if the store has lost it."""
+        ports = [port for port in self.routes if port >= RESTORE_PORT]
+        if ports and self.restore_random.random() < 0.7:
+            port = self.restore_random.choice(ports)
+            del self.routes[port]
+            self.declare()
+            self.removed_at[port] = self.now()
+        else:
+            port = RESTORE_PORT + len(self.all_routes)
+            self.routes[port] = "board"
+            self.all_routes[port] = {"board"}
+            self.declare()
+            self.added_at[port] = self.now()
 
     async def one_restoration(self):
         draw = self.restore_random
         self.count("restorations")
-        for forwarder in self.forwarders:
-            forwarder.is_store_disturbed = True
-        self.store.is_away = True
-        self.store.away_fault = draw.choice(("silent", "reset", "busy"))
-        lost_s, away_s = draw.uniform(0.05, 8), draw.choice((0.0, draw.uniform(0.1, 3)))
-        await asyncio.sleep(away_s)
-        self.store.restore(lost_s)
-        again = [asyncio.create_task(upstream.write_again()) for upstream in self.upstreams]
-        await asyncio.sleep(draw.uniform(0, 1))
-        self.write_declaration()
+        is_changed_before = draw.random() < 0.5
+        if is_changed_before:
+            self.change_routes()
+            await asyncio.sleep(draw.uniform(0, 0.5))
+        # After a short loss that is written again at once, the store may have passed the revisions that
+        # the forwarders know before they read it again.
+        copy_at = self.now() - draw.uniform(0.05, draw.choice((1, 8)))
+        limit = draw.choice((0.05, 1))
+        self.store.go_away(draw.choice(("silent", "reset", "busy")))
+        await asyncio.sleep(draw.choice((0, 0.3, 1, 3)) * draw.random())
+        self.store.restore(copy_at)
+        again = [asyncio.create_task(upstream.write_again(limit)) for upstream in self.upstreams]
+        await asyncio.sleep(draw.uniform(0, limit))
+        if not is_changed_before:
+            self.change_routes()
+        elif self.store.value("op/config")["version"] != self.version:
+            self.write_declaration()
         await asyncio.gather(*again)
-        for forwarder in self.forwarders:
-            forwarder.is_store_disturbed = False
-            forwarder.disturb()
+        self.store.settled_at = self.now() + STABILITY_S
 
     async def end(self):
         """Ends the processes of this run, also after a failure of the soak itself: one that stays
@@ -765,21 +818,26 @@
         for client in self.clients:
             users += [client.long_user(443) for _ in range(6)] + [client.short_user(8443) for _ in range(2)]
             users += [client.short_user(443)]
+        if self.options.restore:
+            users += [client.route_user() for client in self.clients for _ in range(2)]
         if self.options.series:
             users += [client.quiet_user(443) for client in self.clients for _ in range(20)]
         tasks = [asyncio.create_task(user) for user in users]
-        series = [asyncio.create_task(each()) for is_chosen, each in (
-            (self.options.series, self.series), (self.options.restore, self.restorations)) if is_chosen]
         end = self.now() + self.options.seconds
-        while self.now() < end:
+        series = asyncio.create_task(self.series()) if self.options.series else None
+        restorations = asyncio.create_task(self.restorations(end)) if self.options.restore else None
+        while self.options.gap and self.now() < end:
             await asyncio.sleep(self.random.expovariate(1 / self.options.gap))
             await self.one_fault()
             self.last_fault = self.now()
-        for each in series:
-            each.cancel()
+        await asyncio.sleep(end - self.now())
+        if series:
+            series.cancel()
         await asyncio.sleep(8)
         recovered = self.now()
         await asyncio.sleep(4)
+        if restorations:
+            await restorations
         self.is_over = True
         await asyncio.sleep(2.5)
         for task in tasks:
@@ -795,7 +853,7 @@
     parser.add_argument("--binary", required=True)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20, help="time with faults")
-    parser.add_argument("--gap", type=float, default=0.8, help="mean time between faults in seconds")
+    parser.add_argument("--gap", type=float, default=0.8, help="mean time between faults in seconds; 0: none")
     parser.add_argument("--forwarders", type=int, default=5)
     parser.add_argument("--upstreams", type=int, default=4, help="of the service with most traffic")
     parser.add_argument("--series", action="store_true",
