Let the platform's stand-in return from an older copy

/fault?restore=MS undoes the writes of the last MS milliseconds. Versions are given out again, and the header Store-Era, which every response carries, rises by one. The keys and the faults move to headers of their own.

--- a/standins/standin-platform.cpp
+++ b/standins/standin-platform.cpp
@@ -3,6 +3,8 @@
 
 #include "base/clock.h"
 #include "base/endpoint.h"
+#include "keystore.h"
+#include "platformfaults.h"
 
 #include <boost/program_options.hpp>
 #include <iostream>
@@ -23,14 +25,8 @@
 /// An instance that does not refresh its entry for this long is dropped from the list.
 constexpr Milliseconds InstanceTtl = 3_s;
 constexpr std::chrono::milliseconds TickInterval{20};
-
-struct Value
-{
-    std::string value;
-    std::uint64_t version = 0;
-    /// Value before the latest write.
-    std::string older;
-};
+/// Response header with the era of the keys, a number that rises when they are restored.
+constexpr const char *EraHeader = "Store-Era";
 
 struct Watch
 {
@@ -40,17 +36,6 @@
     Milliseconds until;
 };
 
-struct Faults
-{
-    Milliseconds downUntil;
-    /// Writes that take effect but are not answered.
-    int lostReplies = 0;
-    /// Until slowUntil, each call is answered slowBy late.
-    Milliseconds slowUntil, slowBy;
-    /// Until then, reads return the value before the latest one.
-    Milliseconds olderUntil;
-};
-
 struct Delayed
 {
     Request request;
@@ -95,7 +80,7 @@
             m_delayed.pop_front();
         }
         for (auto it = m_watches.begin(); it != m_watches.end();) {
-            const Value &value = m_values[it->key];
+            const KeyStore::Value &value = m_keys.value(it->key);
             if (value.version > it->after || now >= it->until) {
                 replyValue(it->request, value);
                 it = m_watches.erase(it);
@@ -132,13 +117,17 @@
         return isWrite ? write(request, key, query) : read(request, key, query);
     }
 
-    static restinio::request_handling_status_t
-    reply(const Request &request, restinio::http_status_line_t status, std::string body)
+    restinio::request_handling_status_t
+    reply(const Request &request, restinio::http_status_line_t status, std::string body) const
     {
-        return request->create_response(std::move(status)).set_body(std::move(body)).done();
+        return request->create_response(std::move(status))
+                .append_header(EraHeader, std::to_string(m_keys.era()))
+                .set_body(std::move(body))
+                .done();
     }
 
-    restinio::request_handling_status_t replyValue(const Request &request, const Value &value) const
+    restinio::request_handling_status_t replyValue(const Request &request,
+                                                   const KeyStore::Value &value) const
     {
         if (value.version == 0) {
             return reply(request, restinio::status_not_found(), "no such key");
@@ -162,6 +151,10 @@
         m_faults.slowUntil = now + Milliseconds{number(query, "slow_ms")};
         m_faults.olderUntil = now + Milliseconds{number(query, "older_ms")};
         m_faults.lostReplies = static_cast<int>(number(query, "lose_replies"));
+        if (query.has("restore")) {
+            // The keys return to their state of this many milliseconds ago.
+            m_keys.restore(now - Milliseconds{number(query, "restore")});
+        }
         return reply(request, restinio::status_ok(), "{}");
     }
 
@@ -170,29 +163,30 @@
     {
         const auto after = static_cast<std::uint64_t>(number(query, "after"));
         const Milliseconds wait{number(query, "wait_ms")};
-        if (wait > 0_ms && m_values[key].version <= after) {
+        if (wait > 0_ms && m_keys.value(key).version <= after) {
             m_watches.push_back({request, key, after, m_clock.now() + wait});
             return restinio::request_accepted();
         }
-        return replyValue(request, m_values[key]);
+        return replyValue(request, m_keys.value(key));
     }
 
     restinio::request_handling_status_t write(const Request &request, const std::string &key,
                                               const Query &query)
     {
-        Value &value = m_values[key];
-        if (static_cast<std::uint64_t>(number(query, "expected")) != value.version) {
+        const auto expected = static_cast<std::uint64_t>(number(query, "expected"));
+        const bool isWritten = m_keys.write(key, expected, request->body(), m_clock.now());
+        const std::uint64_t version = m_keys.value(key).version;
+        if (!isWritten) {
             return reply(request, restinio::status_conflict(),
-                         "version is " + std::to_string(value.version));
+                         "version is " + std::to_string(version));
         }
-        value = {request->body(), value.version + 1, std::move(value.value)};
         if (m_faults.lostReplies > 0) {
             --m_faults.lostReplies;
             // The request is kept unanswered, so that the client times out.
             m_unanswered.push_back(request);
             return restinio::request_accepted();
         }
-        return reply(request, restinio::status_ok(), Json{{"version", value.version}}.dump());
+        return reply(request, restinio::status_ok(), Json{{"version", version}}.dump());
     }
 
     restinio::request_handling_status_t registerInstance(const Request &request)
@@ -228,13 +222,13 @@
     Clock m_clock;
     Milliseconds m_lag;
     Milliseconds m_listedAt;
-    std::map<std::string, Value> m_values;
+    KeyStore m_keys;
     std::map<std::string, Registered> m_instances;
     Json m_list = Json::array();
     std::list<Watch> m_watches;
     std::list<Request> m_unanswered;
     std::list<Delayed> m_delayed;
-    Faults m_faults;
+    PlatformFaults m_faults;
     std::uint64_t m_reads = 0;
     std::uint64_t m_writes = 0;
 };
