Give out no revision of the declaration twice after a return from a copy

A platform that returned from an older copy gives out its versions of the key again, and with them the revisions that follow the copy's. A balancer that had the lost change in force ignored the next accepted one of the same revision, if the balancer that was asked had not heard of the lost change.

The envelope now names the platform's era of its change. If the platform has returned since, the next revision leaves out 10,000 for each return, also for the text that the copy holds already. A change names the change that the operator saw beside the key's version, and the key is read before a write is repeated, so that another change under the same version is not overwritten. settle no longer says that a change cannot take effect if it may have been lost with the copy.

The new tests of the declaration store and of the command line fail if the store's checks of era and change are removed.

--- a/src/admin/adminapi.cpp
+++ b/src/admin/adminapi.cpp
@@ -150,6 +150,7 @@
     const Envelope &envelope = stored.assume_value().envelope;
     return jsonReply(HttpOk, {{"version", stored.assume_value().version},
                               {"revision", envelope.revision.value},
+                              {"change", envelope.changeId},
                               {"declaration", envelope.declaration}});
 }
 
@@ -178,6 +179,9 @@
         return errorReply(HttpBadRequest, "expected the parameters change and expected_version");
     }
     change.expectedVersion = *version;
+    if (request.query.contains("expected_change")) {
+        change.expectedChange = parameter(request, "expected_change");
+    }
     change.highestInForce =
             std::max(inForce(), Revision{numberParameter(request, "in_force").value_or(0)});
     if (request.query.contains("above_revision")) {
--- a/src/apps/ctl.cpp
+++ b/src/apps/ctl.cpp
@@ -299,6 +299,10 @@
                 "/apply?change=" + changeId + "&author=" + HttpClient::escape(author()) +
                 "&expected_version=" + std::to_string(stored->at("version").get<std::uint64_t>()) +
                 "&in_force=" + std::to_string(highestInForce());
+        if (stored->contains("change")) {
+            path += "&expected_change=" +
+                    HttpClient::escape(stored->at("change").get<std::string>());
+        }
         if (m_values.count("above-revision") > 0) {
             path += "&above_revision=" +
                     std::to_string(m_values["above-revision"].as<std::uint64_t>());
--- a/src/node/controlworker.cpp
+++ b/src/node/controlworker.cpp
@@ -20,7 +20,8 @@
 
 constexpr std::chrono::milliseconds TickInterval{50};
 constexpr Milliseconds PlatformTimeout = 1_s;
-/// A watch cannot be interrupted; this and PlatformTimeout bound the duration of stop().
+/// A watch cannot be interrupted; this and PlatformTimeout bound the duration of stop(). It also
+/// bounds how long a watch misses changes after the platform returned to a lower version.
 constexpr Milliseconds MaxWatchDuration = 1_s;
 constexpr const char *DeclarationKey = "declaration";
 
--- a/src/platform/declarationstore.cpp
+++ b/src/platform/declarationstore.cpp
@@ -21,6 +21,9 @@
 /// With call timeouts of 1 s this bounds an apply to about 7 s while the platform loses replies.
 constexpr int MaxWrites = 3;
 constexpr Milliseconds RetryPause = 200_ms;
+/// Revisions that are left out for each return of the platform from an older copy, because lost
+/// changes may have them in force somewhere. Covers two days of 3,900 changes.
+constexpr std::uint64_t RevisionsPerRestoration = 10'000;
 
 bool statesTheSame(const std::string &a, const std::string &b)
 {
@@ -30,14 +33,23 @@
 }
 
 // Whether a change that is missing in the history never took effect.
-bool coversChange(const Envelope &envelope, const std::string &changeId)
+bool coversChange(const StoredDeclaration &stored, const std::string &changeId)
 {
-    if (envelope.history.size() < MaxHistory) {
-        return true;
+    if (stored.mayLackChanges()) {
+        return false;
     }
+    const auto &history = stored.envelope.history;
     std::uint64_t base = 0;
     std::from_chars(changeId.data(), changeId.data() + changeId.size(), base);
-    return envelope.history.back().revision.value <= base + 1;
+    // The history is in falling order; revisions left out after the base may have been lost.
+    std::uint64_t lowestAbove = 0;
+    for (const HistoryEntry &entry : history) {
+        lowestAbove = entry.revision.value > base ? entry.revision.value : lowestAbove;
+    }
+    if (lowestAbove > base + 1) {
+        return false;
+    }
+    return history.size() < MaxHistory || history.back().revision.value <= base + 1;
 }
 
 std::string revisionText(Revision revision)
@@ -75,7 +87,7 @@
 Result<StoredDeclaration> DeclarationStore::read()
 {
     BOOST_OUTCOME_TRY(value, m_hooks.read());
-    StoredDeclaration stored{value.version, {}};
+    StoredDeclaration stored{value.version, {}, value.era};
     if (value.version > 0) {
         BOOST_OUTCOME_TRY(envelope, parseEnvelope(value.value, DeclarationKey));
         stored.envelope = std::move(envelope);
@@ -99,20 +111,24 @@
     if (auto refused = refusal(request, stored)) {
         return std::move(*refused);
     }
-    if (!request.aboveRevision && statesTheSame(stored.envelope.declaration, request.declaration)) {
+    const bool isStoredCurrent = !request.aboveRevision && !stored.mayLackChanges();
+    if (isStoredCurrent && statesTheSame(stored.envelope.declaration, request.declaration)) {
         return ChangeResult{ChangeOutcome::Unchanged,
                             stored.envelope.revision,
                             "the declaration states what is stored",
                             {},
                             {}};
     }
-    return write(request, nextEnvelope(request, stored));
+    return write(request, std::move(stored));
 }
 
 std::optional<ChangeResult> DeclarationStore::refusal(const ChangeRequest &request,
                                                       const StoredDeclaration &stored) const
 {
-    if (stored.version != request.expectedVersion) {
+    const bool isExpected =
+            stored.version == request.expectedVersion &&
+            stored.envelope.changeId == request.expectedChange.value_or(stored.envelope.changeId);
+    if (!isExpected) {
         return lostAgainst(request, stored);
     }
     const Revision confirmed = request.aboveRevision.value_or(Revision{0});
@@ -157,8 +173,13 @@
 {
     const Revision confirmed = request.aboveRevision.value_or(Revision{0});
     const Revision base = std::max(stored.envelope.revision, confirmed);
+    // Counted from the era of the stored change: a second return may lose the first one's changes.
+    const std::uint64_t returns =
+            stored.era > stored.envelope.era ? stored.era - stored.envelope.era : 1;
+    const std::uint64_t leftOut = stored.mayLackChanges() ? returns * RevisionsPerRestoration : 0;
     Envelope next = stored.envelope;
-    next.revision = Revision{base.value + 1};
+    next.revision = Revision{base.value + leftOut + 1};
+    next.era = stored.era;
     next.changeId = request.changeId;
     next.declaration = request.declaration;
     next.history.insert(next.history.begin(),
@@ -167,19 +188,37 @@
     return next;
 }
 
-Result<ChangeResult> DeclarationStore::write(const ChangeRequest &request, const Envelope &next)
+Result<ChangeResult> DeclarationStore::write(ChangeRequest request, StoredDeclaration stored)
 {
-    const std::string text = formatEnvelope(next);
-    if (text.size() > MaxEnvelopeBytes) {
+    const std::size_t size = formatEnvelope(nextEnvelope(request, stored)).size();
+    if (size > MaxEnvelopeBytes) {
         return Error{ErrorCode::Oversized, Step::WritePlatform, DeclarationKey,
-                     "declaration and history of " + std::to_string(text.size()) +
+                     "declaration and history of " + std::to_string(size) +
                              " bytes; expected at most " + std::to_string(MaxEnvelopeBytes)};
     }
+    request.expectedChange = stored.envelope.changeId;
     bool mayHaveTakenEffect = false;
     for (int attempt = 1; attempt <= MaxWrites; ++attempt) {
-        const auto written = m_hooks.compareAndSwap(text, request.expectedVersion);
+        if (mayHaveTakenEffect) {
+            // If the platform returned from an older copy meanwhile, another change may have got
+            // the expected version.
+            auto again = read();
+            if (!again) {
+                m_hooks.pause(RetryPause);
+                continue;
+            }
+            stored = std::move(again.assume_value());
+            if (const HistoryEntry *entry = stored.envelope.findChange(request.changeId)) {
+                return ChangeResult{ChangeOutcome::Accepted, entry->revision, {}, {}, {}};
+            }
+            if (auto refused = refusal(request, stored)) {
+                return std::move(*refused);
+            }
+        }
+        const Envelope next = nextEnvelope(request, stored);
+        const auto written = m_hooks.compareAndSwap(formatEnvelope(next), request.expectedVersion);
         if (written) {
-            m_last = StoredDeclaration{written.assume_value(), next};
+            m_last = StoredDeclaration{written.assume_value(), next, stored.era};
             return ChangeResult{ChangeOutcome::Accepted, next.revision, {}, {}, {}};
         }
         const ErrorCode code = written.assume_error().code;
@@ -191,12 +230,11 @@
         if (code == ErrorCode::Conflict) {
             // The version has moved on, by an earlier attempt of this change or by another change;
             // no attempt that is still under way can take effect any more.
-            const auto stored = read();
-            if (stored && stored.assume_value().envelope.findChange(request.changeId)) {
-                return ChangeResult{ChangeOutcome::Accepted, next.revision, {}, {}, {}};
-            }
-            if (stored) {
-                return lostAgainst(request, stored.assume_value());
+            const auto current = read();
+            if (current) {
+                const auto *entry = current.assume_value().envelope.findChange(request.changeId);
+                return entry ? ChangeResult{ChangeOutcome::Accepted, entry->revision, {}, {}, {}}
+                             : lostAgainst(request, current.assume_value());
             }
             if (!mayHaveTakenEffect) {
                 return ChangeResult{
@@ -223,7 +261,7 @@
         if (stored.version == 0) {
             break;
         }
-        if (highestInForce > stored.envelope.revision || !coversChange(stored.envelope, changeId)) {
+        if (highestInForce > stored.envelope.revision || !coversChange(stored, changeId)) {
             return ChangeResult{ChangeOutcome::Unknown,
                                 stored.envelope.revision,
                                 "the platform's history does not cover the change: it is too old, "
--- a/src/platform/declarationstore.h
+++ b/src/platform/declarationstore.h
@@ -40,6 +40,12 @@
     /// Zero: no declaration has been written yet.
     std::uint64_t version = 0;
     Envelope envelope;
+    /// Era of the platform at this read. Zero: it names none.
+    std::uint32_t era = 0;
+
+    /// Returns whether changes that were accepted after this one may be missing, because the
+    /// platform returned from an older copy. An envelope of unknown era may come from before.
+    bool mayLackChanges() const { return version > 0 && era != envelope.era && era > 0; }
 };
 
 /// A change that an operator asks for.
@@ -56,6 +62,9 @@
     /// Confirms that the new revision shall be above this one, although the platform holds a lower
     /// one than balancers have in force.
     std::optional<Revision> aboveRevision;
+    /// Change that the operator saw under expectedVersion: the platform gives out versions again
+    /// after it returned from an older copy. Without it the version alone decides.
+    std::optional<std::string> expectedChange = std::nullopt;
 };
 
 enum class ChangeOutcome : std::uint8_t {
@@ -91,8 +100,9 @@
     /// Reads what is stored. Errors: Unreachable, Timeout, Malformed.
     Result<StoredDeclaration> read();
 
-    /// Writes a change. A lost reply is settled by repeating the write, which can take effect only
-    /// once, and by reading the history. Errors: Unreachable, Timeout, Malformed (nothing was
+    /// Writes a change. A lost reply is settled by reading the history and by repeating the write,
+    /// which can take effect only once. After a return from an older copy the new revision is above
+    /// all that were given out before. Errors: Unreachable, Timeout, Malformed (nothing was
     /// written), InvalidValue (mistakes in the declaration), Oversized.
     Result<ChangeResult> apply(const ChangeRequest &request);
 
@@ -106,7 +116,7 @@
     const std::optional<StoredDeclaration> &lastRead() const { return m_last; }
 
 private:
-    Result<ChangeResult> write(const ChangeRequest &request, const Envelope &next);
+    Result<ChangeResult> write(ChangeRequest request, StoredDeclaration stored);
     std::optional<ChangeResult> refusal(const ChangeRequest &request,
                                         const StoredDeclaration &stored) const;
     ChangeResult lostAgainst(const ChangeRequest &request, const StoredDeclaration &stored) const;
--- a/src/platform/envelope.cpp
+++ b/src/platform/envelope.cpp
@@ -21,7 +21,8 @@
         Envelope envelope{Revision{object.at("revision").get<std::uint64_t>()},
                           object.value("change", ""),
                           object.at("declaration").get<std::string>(),
-                          {}};
+                          {},
+                          object.value("era", std::uint32_t{0})};
         for (const Json &entry : object.value("history", Json::array())) {
             envelope.history.push_back({Revision{entry.at("revision").get<std::uint64_t>()},
                                         entry.at("change").get<std::string>(),
@@ -46,7 +47,8 @@
     const Json object = {{"revision", envelope.revision.value},
                          {"change", envelope.changeId},
                          {"declaration", envelope.declaration},
-                         {"history", std::move(history)}};
+                         {"history", std::move(history)},
+                         {"era", envelope.era}};
     // An author in another encoding must not make a change fail.
     return object.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
--- a/src/platform/envelope.h
+++ b/src/platform/envelope.h
@@ -4,6 +4,7 @@
 #include "base/milliseconds.h"
 #include "base/result.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,8 @@
     std::string declaration;
     /// Recent changes, the newest first.
     std::vector<HistoryEntry> history;
+    /// Era of the platform in which the latest change was accepted. Zero: not known.
+    std::uint32_t era = 0;
 
     /// Returns the entry of a change, or null. The pointer lives as long as the history.
     const HistoryEntry *findChange(const std::string &id) const;
--- a/src/platform/httpclient.cpp
+++ b/src/platform/httpclient.cpp
@@ -1,6 +1,8 @@
 #include "platform/httpclient.h"
 
+#include <charconv>
 #include <curl/curl.h>
+#include <string_view>
 
 namespace damaskhall {
 
@@ -20,6 +22,19 @@
     return size * count;
 }
 
+std::optional<std::uint32_t> readEra(CURL *handle)
+{
+    curl_header *header = nullptr;
+    if (curl_easy_header(handle, "Store-Era", 0, CURLH_HEADER, -1, &header) != CURLHE_OK) {
+        return std::nullopt;
+    }
+    const std::string_view text(header->value);
+    std::uint32_t era = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), era);
+    const bool isNumber = code == std::errc() && end == text.data() + text.size();
+    return isNumber ? std::optional(era) : std::nullopt;
+}
+
 Error callError(CURLcode code, Step step, const std::string &peer, bool isWrite)
 {
     const std::string detail = curl_easy_strerror(code);
@@ -74,6 +89,7 @@
         return callError(code, step, m_d->peer, method != HttpMethod::Get);
     }
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &reply.status);
+    reply.era = readEra(handle);
     return reply;
 }
 
--- a/src/platform/httpclient.h
+++ b/src/platform/httpclient.h
@@ -4,7 +4,9 @@
 #include "base/milliseconds.h"
 #include "base/result.h"
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace damaskhall {
@@ -19,6 +21,8 @@
 {
     long status = 0;
     std::string body;
+    /// Number in the header "Store-Era", if there is one.
+    std::optional<std::uint32_t> era = std::nullopt;
 };
 
 /// HTTP client of one server (libcurl), without proxies. Calls block up to their timeout.
--- a/src/platform/platformclient.cpp
+++ b/src/platform/platformclient.cpp
@@ -75,7 +75,7 @@
     {
         BOOST_OUTCOME_TRY(reply, http.call(step, HttpMethod::Get, path, {}, limit));
         if (reply.status == HttpNotFound) {
-            return PlatformValue{};
+            return PlatformValue{{}, 0, reply.era.value_or(0)};
         }
         if (reply.status != HttpOk) {
             return unexpectedStatus(step, http.peer(), reply);
@@ -83,7 +83,7 @@
         try {
             const Json json = Json::parse(reply.body);
             return PlatformValue{json.at("value").get<std::string>(),
-                                 json.at("version").get<std::uint64_t>()};
+                                 json.at("version").get<std::uint64_t>(), reply.era.value_or(0)};
         } catch (const Json::exception &error) {
             return Error{ErrorCode::Malformed, step, http.peer(), error.what()};
         }
--- a/src/platform/platformclient.h
+++ b/src/platform/platformclient.h
@@ -18,6 +18,9 @@
     std::string value;
     /// Zero: the key does not exist.
     std::uint64_t version = 0;
+    /// Rises when the platform returns from an older copy, which gives out versions again. Zero: it
+    /// names none.
+    std::uint32_t era = 0;
 };
 
 /// Entry of the platform's lagging list of instances.
--- a/tests/apps/ctl_test.cpp
+++ b/tests/apps/ctl_test.cpp
@@ -67,6 +67,9 @@
                 request.query[item.substr(0, item.find('='))] = item.substr(item.find('=') + 1);
             }
         }
+        if (request.path == "/apply") {
+            beforeApply();
+        }
         const AdminReply reply = api.handle(request);
         if (method == HttpMethod::Post && losesAdminReply) {
             return Error{ErrorCode::OutcomeUnknown, Step::CallAdmin, toString(admin), "timeout"};
@@ -108,6 +111,8 @@
     bool isPlatformDown = false;
     bool losesWrites = false;
     bool losesAdminReply = false;
+    /// Called before a balancer handles an apply.
+    std::function<void()> beforeApply = [] {};
     std::uint16_t downPort = 0;
     Revision highest;
     DeclarationStoreHooks hooks{
@@ -256,6 +261,21 @@
     EXPECT_EQ(out.str(), "accepted at revision 9\n");
 }
 
+// Guards against a silent overwrite of a change that another operator made while the platform
+// returned from an older copy and gave out the version again.
+TEST_F(CtlTest, AnotherChangeUnderTheSameVersionIsNotOverwritten)
+{
+    run({"apply", goodFile});
+    beforeApply = [this] {
+        const Revision revision{10'001};
+        const Envelope theirs{
+                revision, "0-theirs", Good, {{revision, "0-theirs", "bandara", {}}}, 2};
+        value = {formatEnvelope(theirs), value.version, 2};
+    };
+    EXPECT_EQ(run({"apply", betterFile}), CtlExit::Refused);
+    EXPECT_THAT(err.str(), HasSubstr("revision 10001 by bandara"));
+}
+
 // Guards against requests that end or confuse the balancer.
 TEST_F(CtlTest, InterfaceRefusesMalformedRequests)
 {
--- a/tests/platform/declarationstore_test.cpp
+++ b/tests/platform/declarationstore_test.cpp
@@ -26,6 +26,14 @@
     bool isReadable = true;
     int writes = 0;
 
+    /// Returns from an older copy, as a platform that numbers such returns.
+    void restore(const PlatformValue &copy)
+    {
+        const std::uint32_t next = value.era + 1;
+        value = copy;
+        value.era = next;
+    }
+
     Result<std::uint64_t> swap(const std::string &text, std::uint64_t expected)
     {
         ++writes;
@@ -38,7 +46,7 @@
         if (expected != value.version) {
             return Error{ErrorCode::Conflict, Step::WritePlatform, "platform", ""};
         }
-        value = {text, value.version + 1};
+        value = {text, value.version + 1, value.era};
         if (auto error = after()) {
             return *error;
         }
@@ -227,6 +235,89 @@
     EXPECT_EQ(apply(request).revision, Revision{10});
 }
 
+class RestoredPlatformStoreTest : public DeclarationStoreTest
+{
+protected:
+    RestoredPlatformStoreTest()
+    {
+        platform.value.era = 1;
+        apply(change("1 s", "0-a", 0));
+        copy = platform.value;
+        apply(change("2 s", "1-b", 1));
+    }
+
+    PlatformValue copy;
+};
+
+// Guards against a revision that is given out twice: balancers that have the lost change in force
+// would ignore the new one.
+TEST_F(RestoredPlatformStoreTest, RevisionsOfLostChangesAreNotGivenOutAgain)
+{
+    EXPECT_EQ(platform.store().read().assume_value().envelope.revision, Revision{2});
+    platform.restore(copy);
+    const Revision first = apply(change("3 s", "1-c", 1)).revision;
+    EXPECT_GT(first, Revision{2});
+
+    SCOPED_TRACE("revisions are left out once for each return");
+    const Revision second = apply(change("4 s", "1-d", 2)).revision;
+    EXPECT_EQ(second, Revision{first.value + 1});
+
+    SCOPED_TRACE("the same copy again: the changes after the first return are lost, too");
+    platform.restore(copy);
+    EXPECT_GT(apply(change("5 s", "1-e", 1)).revision, second);
+}
+
+// Guards against "unchanged" while balancers that were not asked have a lost change in force.
+TEST_F(RestoredPlatformStoreTest, TheCopysOwnDeclarationIsANewRevision)
+{
+    platform.restore(copy);
+    const auto again = apply(change("1 s", "1-c", 1));
+    EXPECT_EQ(again.outcome, ChangeOutcome::Accepted);
+    EXPECT_GT(again.revision, Revision{2});
+    EXPECT_EQ(apply(change("1 s", "2-d", 2)).outcome, ChangeOutcome::Unchanged);
+}
+
+// Guards against a silent overwrite of a change that got the version which the operator saw before
+// the platform returned from an older copy.
+TEST_F(RestoredPlatformStoreTest, ChangeOfAnotherStateUnderTheSameVersionIsRefused)
+{
+    platform.restore(copy);
+    apply(change("3 s", "1-theirs", 1));
+    ASSERT_EQ(platform.value.version, 2U);
+    ChangeRequest ours = change("4 s", "2-ours", 2);
+    ours.expectedChange = "1-b";
+    const auto refused = apply(ours);
+    EXPECT_EQ(refused.outcome, ChangeOutcome::Refused);
+    ASSERT_TRUE(refused.winner);
+    EXPECT_EQ(refused.winner->changeId, "1-theirs");
+}
+
+// Guards against a repeated write that overwrites another change which got the version meanwhile.
+TEST_F(RestoredPlatformStoreTest, RepeatedWriteDoesNotOverwriteAnotherChange)
+{
+    platform.beforeWrite = [&]() -> std::optional<Error> {
+        platform.beforeWrite = [] { return std::nullopt; };
+        platform.restore(copy);
+        apply(change("3 s", "1-theirs", 1));
+        return LostReply;
+    };
+    const auto lost = apply(change("4 s", "2-ours", 2));
+    EXPECT_EQ(lost.outcome, ChangeOutcome::Refused);
+    ASSERT_TRUE(lost.winner);
+    EXPECT_EQ(lost.winner->changeId, "1-theirs");
+    EXPECT_EQ(platform.store().read().assume_value().envelope.declaration, declarationWith("3 s"));
+}
+
+// Guards against "cannot take effect" about a change that was accepted and lost with the copy.
+TEST_F(RestoredPlatformStoreTest, DoesNotJudgeLostChanges)
+{
+    platform.restore(copy);
+    EXPECT_EQ(platform.store().settle("1-b", {}).assume_value().outcome, ChangeOutcome::Unknown);
+    apply(change("3 s", "1-c", 1));
+    EXPECT_EQ(platform.store().settle("1-b", {}).assume_value().outcome, ChangeOutcome::Unknown);
+    EXPECT_EQ(platform.store().settle("1-c", {}).assume_value().outcome, ChangeOutcome::Accepted);
+}
+
 // Guards against a stored value in another form ending the process, or being overwritten.
 TEST_F(DeclarationStoreTest, RefusesToReplaceWhatItCannotRead)
 {
--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -1,6 +1,7 @@
 #include "processes/fleet.h"
 
 #include "config/declaration.h"
+#include "platform/httpclient.h"
 #include "platform/platformclient.h"
 #include "wire/framecodec.h"
 
@@ -28,6 +29,7 @@
 constexpr int OuterOffset = 1;
 constexpr int InnerOffset = 2;
 constexpr int BalancerOffset = 10;
+constexpr int AdminOffset = 30;
 constexpr int UpstreamOffset = 50;
 constexpr int BlockSize = 100;
 constexpr int FirstBlock = 12'000;
@@ -39,6 +41,7 @@
 /// Programs built with ThreadSanitizer take several seconds to start on a busy machine.
 constexpr int StartLimitSeconds = 30;
 constexpr int CallerDrainSeconds = 30;
+constexpr int CtlSeconds = 20;
 
 bool isFree(int type, std::uint16_t port)
 {
@@ -160,11 +163,10 @@
 
 void Fleet::startBalancer(int id)
 {
-    const std::vector<std::string> arguments{"--id",          std::to_string(id),
-                                             "--listen",      address(BalancerOffset + id),
-                                             "--data-centre", DataCentre,
-                                             "--platform",    address(PlatformOffset),
-                                             "--token-key",   TokenKey};
+    const std::vector<std::string> arguments{
+            "--id",          std::to_string(id), "--listen",       address(BalancerOffset + id),
+            "--data-centre", DataCentre,         "--platform",     address(PlatformOffset),
+            "--token-key",   TokenKey,           "--admin-listen", address(AdminOffset + id)};
     m_balancers.emplace(id, Process("damaskhall-balancer", arguments, file("processes.log")));
 }
 
@@ -233,6 +235,37 @@
     return table;
 }
 
+int Fleet::runCtl(int balancer, const std::vector<std::string> &arguments)
+{
+    std::vector<std::string> all{arguments};
+    all.insert(all.end(), {"--admin", address(AdminOffset + balancer)});
+    return Process("damaskhallctl", all, file("processes.log")).wait(CtlSeconds);
+}
+
+std::string Fleet::writeFile(const std::string &name, const std::string &text) const
+{
+    std::ofstream(file(name)) << text;
+    return file(name);
+}
+
+DeclarationInForce Fleet::declarationOf(int balancer) const
+{
+    HttpClient client({Loopback, static_cast<std::uint16_t>(m_basePort + AdminOffset + balancer)});
+    const auto reply = client.call(Step::CallAdmin, HttpMethod::Get, "/declaration", {}, 1_s);
+    const auto json = reply ? nlohmann::json::parse(reply.assume_value().body, nullptr, false)
+                            : nlohmann::json();
+    return json.is_object() ? DeclarationInForce{json.value("revision", std::uint64_t{0}),
+                                                 json.value("declaration", "")}
+                            : DeclarationInForce{};
+}
+
+bool Fleet::restorePlatform(Milliseconds age)
+{
+    HttpClient client({Loopback, m_basePort});
+    const std::string path = "/fault?restore=" + std::to_string(age.value);
+    return client.call(Step::WritePlatform, HttpMethod::Put, path, {}, 1_s).has_value();
+}
+
 std::string Fleet::output() const
 {
     return readFile(file("processes.log")) + readFile(file("callers.log"));
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/endpoint.h"
+#include "base/milliseconds.h"
 #include "processes/process.h"
 
 #include <cstdint>
@@ -26,6 +27,14 @@
     std::uint64_t alive = 0;
 };
 
+/// Declaration that a balancer has in force.
+struct DeclarationInForce
+{
+    /// Zero if the balancer did not answer.
+    std::uint64_t revision = 0;
+    std::string text;
+};
+
 /// One data centre of real processes on loopback, with ports of its own.
 class Fleet
 {
@@ -49,6 +58,14 @@
     /// Waits for the callers and returns their table by class.
     std::map<std::string, TableRow> finishCallers();
 
+    /// Runs damaskhallctl against one balancer and returns its exit status.
+    int runCtl(int balancer, const std::vector<std::string> &arguments);
+    /// Writes a file into the fleet's folder and returns its path.
+    std::string writeFile(const std::string &name, const std::string &text) const;
+    DeclarationInForce declarationOf(int balancer) const;
+    /// Makes the platform return to its keys of @p age ago. Returns false if it did not answer.
+    bool restorePlatform(Milliseconds age);
+
     /// Returns all output of the processes, for failure messages.
     std::string output() const;
 
