Let only reads of the directory answer a request to read it

Cause: a read of the declaration counted as the read that was asked for when changes were missing, and as a sign of the store that postpones an own read during an outage. A follower that asks for a declaration which a restored store lacks would have waited for its peers meanwhile.

Tried and withdrawn: a declaration read that does not wait for the next watch. IsWatchedWhileADeclarationIsMissing asserts what holds without it: a watch in each interval and delay of a read, and a read of the declaration no later than the next watch.

--- a/src/core/flow/storereader.cpp
+++ b/src/core/flow/storereader.cpp
@@ -118,15 +118,13 @@
 
 std::optional<StoreCall> StoreReader::next(Milliseconds now)
 {
+    if (m_isPending || now < m_due) {
+        return std::nullopt;
+    }
     const bool isNewerRequested =
             m_requestedDeclaration > m_declaration && now >= m_nextDeclarationRead;
     const bool isDeclarationDue =
             isFollowing() && (m_isCurrentDeclarationRequested || isNewerRequested);
-    // A declaration does not wait for the next watch, but for the delay of a failed call.
-    const bool isWaitOver = now >= m_due || (isDeclarationDue && m_failures == 0);
-    if (m_isPending || !isWaitOver) {
-        return std::nullopt;
-    }
     StoreCall call;
     call.after.era = m_after.era;
     if (!isDeclarationDue && !isSnapshotDue(now) && isCoveredByPeers(now)) {
@@ -155,9 +153,12 @@
     m_isStaleAllowed = call.isStaleAllowed || call.kind == StoreCall::Kind::Snapshot;
     call.reason = reasonFor(call.kind);
     m_reason = call.reason;
-    m_requestedReason.reset();
     if (call.kind == StoreCall::Kind::Declaration) {
         m_isCurrentDeclarationRequested = false;
+    } else if (call.kind != StoreCall::Kind::SaveSnapshot) {
+        // A read of the directory answers the request; the other calls do not.
+        m_requestedReason.reset();
+        m_directoryReadAt = now;
     }
     return call;
 }
@@ -367,7 +368,7 @@
     }
     const bool isNoticeRecent =
             m_hasOutageNotice && static_cast<double>((now - m_lastNoticeAt).value) < timeout;
-    const Milliseconds lastSign = std::max(*m_confirmedAt, m_startedAt);
+    const Milliseconds lastSign = std::max(*m_confirmedAt, m_directoryReadAt);
     const std::int64_t factor =
             std::min(OwnReadFactor << std::min(m_failures, MaxDelayDoublings), MaxOwnReadFactor);
     return isNoticeRecent && now - lastSign < m_times.confirmationInterval * factor;
--- a/src/core/flow/storereader.h
+++ b/src/core/flow/storereader.h
@@ -223,6 +223,8 @@
     StoreCall::Kind m_kind = StoreCall::Kind::List;
     StoreCall::Reason m_reason = StoreCall::Reason::Start;
     Milliseconds m_startedAt;
+    /// When the last call that reads the directory began.
+    Milliseconds m_directoryReadAt;
     Milliseconds m_due;
     StoreRevision m_after;
     /// Revision of the first page. Later pages may be newer; the watch starts here so that it
