--- a/src/platform/declarationstore.cpp
+++ b/src/platform/declarationstore.cpp
@@ -22,7 +22,8 @@
 constexpr int MaxWrites = 3;
 constexpr Milliseconds RetryPause = 200_ms;
 /// Revisions that are left out for each return of the platform from an older copy, because lost
-/// changes may have them in force somewhere. Covers two days of 3,900 changes.
+/// changes may have them in force somewhere. Operators make far fewer changes in the time that a
+/// copy may lack.
 constexpr std::uint64_t RevisionsPerRestoration = 10'000;
 
 bool statesTheSame(const std::string &a, const std::string &b)
