--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -542,14 +542,20 @@
         self.is_stopped = False
         self.is_ended = False
         self.process = None
+        self.changed_bounds = {}
+        self.own_ends = 0  # of processes that nobody signalled
+        self.is_ending = False
         self.store_address = world.ip(9, 1)
         world.nodes.append(self)
 
     def __str__(self):
         return self.label
 
-    def fields(self, zones, seeds):
+    def fields(self):
+        """The settings of this machine, as DEPLOY.md lists them."""
         world = self.world
+        zones = sorted({node.zone for node in world.nodes})
+        seeds = [f"{node.address}:{world.peer_port}" for node in world.nodes[:3]]
         return {
             "node_id": self.label, "role": "forwarder", "machine_class": "frontend",
             "serves": ["frontend", "control_plane"], "ip": self.address, "zone": self.zone,
@@ -567,23 +573,26 @@
                        "catch_up_s": 4, "drain_ms": 3000, "grace_s": 6, "loss_slack_ms": 200,
                        "config_apply_ms": 3000, "rollback_slack_ms": 250,
                        "max_stretch_ms": 12000, "recovery_s": 12, "reorder_ms": 2000,
-                       "flow_ttl_s": 60},
+                       "flow_ttl_s": 60, **self.changed_bounds},
             "hash": "steady", "forwarding_mode": "echo",
             "platform": {"addr": f"{self.store_address}:{world.store_port}", "forwarding_mode": "kv",
                          "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20,
                          "value_bytes": VALUE_BYTES, "ttl_min_ms": 1000}}
 
-    async def start(self):
-        world = self.world
+    def write_settings(self):
+        """Places the settings file; returns its path and the deploy file's role."""
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as stream:
             role = next(iter(tomllib.load(stream)["roles"].values()))
         with open(os.path.join(ROOT, role["template"]), encoding="utf-8") as stream:
             template = stream.read()
-        zones = sorted({node.zone for node in world.nodes})
-        seeds = [f"{node.address}:{world.peer_port}" for node in world.nodes[:3]]
-        settings = os.path.join(world.temporary.name, f"{self.label}.settings")
+        settings = os.path.join(self.world.temporary.name, f"{self.label}.settings")
         with open(settings, "w", encoding="utf-8") as stream:
-            stream.write(render(template, self.fields(zones, seeds)))
+            stream.write(render(template, self.fields()))
+        return settings, role
+
+    async def start(self):
+        world = self.world
+        settings, role = self.write_settings()
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
                        if name in os.environ}
         environment["DAMASKHALL_BOOT"] = settings
@@ -598,6 +607,9 @@
     async def supervise(self, process):
         status = await process.wait()
         self.world.record(f"{self} ended with status {status}")
+        if not self.is_ending and not self.is_ended:
+            self.own_ends += 1
+        self.is_ending = False
         self.disturbed_at = self.world.now()
         if not self.is_ended:
             await asyncio.sleep(0.3)
@@ -611,6 +623,8 @@
             self.is_stopped = True
         elif which == signal.SIGCONT:
             self.is_stopped = False
+        elif which in (signal.SIGTERM, signal.SIGKILL):
+            self.is_ending = True
         self.process.send_signal(which)
 
     def is_in_touch(self):
