--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -351,6 +351,8 @@
     """Registers itself, accepts flows, answers HTTP requests on them."""
 
     on_opening = None  # called with the backend, the flow and the node that sent the SYN on
+    on_foreign_packet = None  # called with the backend and a packet that is meant for another one
+    on_packet = None  # called with the backend and each other packet
 
     def __init__(self, world, index, service, zone, work_s=0.03):
         self.world, self.index, self.service, self.zone = world, index, service, zone
@@ -409,12 +411,16 @@
         packet = Packet(datagram[8:])
         if struct.unpack(">Q", datagram[:8])[0] not in (0, self.identity):
             self.world.record(f"backend {self.name()} got a packet for another backend")
+            if self.on_foreign_packet:
+                self.on_foreign_packet(self, packet)
             return
         if not packet.is_genuine():
             self.world.violate("UNASKED", f"{self.name()} got a packet that its sender didn't write")
             return
         key = (packet.src, packet.sport, packet.dst, packet.dport)
         node = self.world.fabric.node_at(source[0])
+        if self.on_packet:
+            self.on_packet(self, packet)
         flow = self.flows.get(key)
         if packet.flags & SYN:
             self.accept(key, packet, node)
