Read limits with a fraction, and figures that the platform does not state

Cause: the settings accepted whole numbers only, while the template puts the platform's figure before the unit. Evidence: the line 'found stop_limit = 6.5 s; expected a whole number' on the running instances and on standard error of those that ended with status 2.

Change: limits are decimal numbers, rounded down to whole milliseconds. Mistakes are still reported, and operators' declarations still take whole numbers. SIGHUP applies a changed stop_limit.

--- a/src/config/forwardersettings.cpp
+++ b/src/config/forwardersettings.cpp
@@ -40,20 +40,43 @@
 
 Field durationField(std::string key, Milliseconds ForwarderSettings::*member)
 {
-    return {std::move(key), true, "a whole number with unit above zero, such as '3000 ms'",
+    return {std::move(key), true, "a number with unit above zero, such as '3000 ms' or '6.5 s'",
             [member](ForwarderSettings &settings, const std::string &text) {
-                settings.*member = parseDuration(text).value_or(0_ms);
+                settings.*member = parseDecimalDuration(text).value_or(0_ms);
                 return settings.*member > 0_ms;
             }};
 }
 
-// An empty value keeps the default: platforms leave out what they do not state.
+// A platform may leave out a figure, or write true or false instead. The unit that its template
+// adds remains.
+bool isUnstated(const std::string &text)
+{
+    const std::string figure = text.substr(0, text.find(' '));
+    return figure.empty() || figure == "ms" || figure == "s" || figure == "true" ||
+           figure == "false";
+}
+
+// A limit that the platform does not state keeps its default, and one of zero counts as the
+// shortest possible: a process that does not start holds no limit at all.
+Field limitField(std::string key, Milliseconds ForwarderSettings::*member)
+{
+    return {std::move(key), true, "a number with unit, such as '3000 ms' or '6.5 s'",
+            [member](ForwarderSettings &settings, const std::string &text) {
+                if (isUnstated(text)) {
+                    return true;
+                }
+                const auto limit = parseDecimalDuration(text);
+                settings.*member = std::max(limit.value_or(0_ms), 1_ms);
+                return limit.has_value();
+            }};
+}
+
 Field optionalField(std::string key, std::string expected,
                     std::function<bool(ForwarderSettings &, const std::string &)> read)
 {
     return {std::move(key), false, std::move(expected),
             [read = std::move(read)](ForwarderSettings &settings, const std::string &text) {
-                return text.empty() || read(settings, text);
+                return isUnstated(text) || read(settings, text);
             }};
 }
 
@@ -90,19 +113,19 @@
              [](ForwarderSettings &settings, const std::string &text) {
                  return text.empty() || readEndpoints(text, settings.seeds);
              }},
-            durationField("leaving_limit", &ForwarderSettings::leavingLimit),
-            durationField("declaration_limit", &ForwarderSettings::declarationLimit),
-            durationField("flow_lifetime", &ForwarderSettings::flowLifetime),
-            durationField("stop_limit", &ForwarderSettings::stopLimit),
+            limitField("leaving_limit", &ForwarderSettings::leavingLimit),
+            limitField("declaration_limit", &ForwarderSettings::declarationLimit),
+            limitField("flow_lifetime", &ForwarderSettings::flowLifetime),
+            limitField("stop_limit", &ForwarderSettings::stopLimit),
             durationField("confirmation", &ForwarderSettings::confirmation),
             {"log_level", false, "debug, info, warn or error",
              [](ForwarderSettings &settings, const std::string &text) {
                  return readLogLevel(text, settings.logLevel);
              }},
             namesField("data_centres", &ForwarderSettings::dataCentres),
-            optionalField("evacuation_limit", "a whole number with unit above zero, or nothing",
+            optionalField("evacuation_limit", "a number with unit above zero, or nothing",
                           [](ForwarderSettings &settings, const std::string &text) {
-                              settings.evacuationLimit = parseDuration(text).value_or(0_ms);
+                              settings.evacuationLimit = parseDecimalDuration(text).value_or(0_ms);
                               return settings.evacuationLimit > 0_ms;
                           }),
             optionalNumberField("cold_overshoot", 1.0, &ForwarderSettings::coldOvershoot),
--- a/src/config/forwardersettings.h
+++ b/src/config/forwardersettings.h
@@ -11,7 +11,8 @@
 
 namespace damaskhall {
 
-/// Settings of one flow forwarder. Thread safety: a plain value.
+/// Settings of one flow forwarder. The default limits are the shortest that platforms have stated
+/// so far. Thread safety: a plain value.
 struct ForwarderSettings
 {
     /// Name of the instance in logs.
@@ -29,13 +30,13 @@
     std::vector<Endpoint> seeds;
     Endpoint store;
     /// Time from the store's acceptance of an upstream's leaving to its last new flow.
-    Milliseconds leavingLimit;
+    Milliseconds leavingLimit = 3_s;
     /// Time from the store's acceptance of a declaration until it is in force everywhere.
-    Milliseconds declarationLimit;
+    Milliseconds declarationLimit = 3_s;
     /// Longest life of a flow.
-    Milliseconds flowLifetime;
+    Milliseconds flowLifetime = 60_s;
     /// Time from the request to stop until the process is killed.
-    Milliseconds stopLimit;
+    Milliseconds stopLimit = 6_s;
     /// Time after the store's return within which lapsed entries are written again.
     Milliseconds confirmation;
     std::string logLevel = "info";
--- a/src/forwarder/forwarderprocess.cpp
+++ b/src/forwarder/forwarderprocess.cpp
@@ -40,6 +40,8 @@
 /// The leaving limit covers three stages: the watch that reports the leaving upstream, the
 /// retransmissions of the last opening packet (600 ms), and the transit time of the packets.
 constexpr std::int64_t ConfirmationsPerLeavingLimit = 3;
+/// Shortest confirmation interval, whatever the limits: some times that of an answer of the store.
+constexpr Milliseconds MinConfirmationInterval = 100_ms;
 
 constexpr double BytesPerMillisecondAndMbps = 125;
 
@@ -139,6 +141,8 @@
                     std::min(times.reader.confirmationInterval,
                              settings.evacuationLimit / ConfirmationsPerLeavingLimit);
         }
+        times.reader.confirmationInterval =
+                std::max(times.reader.confirmationInterval, MinConfirmationInterval);
         times.reader.watchInterval = times.reader.confirmationInterval / 2;
         // Two confirmation intervals and the time of a slow answer (500 ms).
         times.confirmation = times.reader.confirmationInterval * 2 + 500_ms;
@@ -351,8 +355,9 @@
         });
     }
 
-    // Applies only the log level. Addresses and limits cannot change while the process runs: the
-    // sockets are already open, and a changed address means another instance.
+    // Applies the log level and the stop limit, after which the platform kills the process. The
+    // rest cannot change while the process runs: the sockets are already open, a changed address
+    // means another instance, and the intervals of the store's readers are those of the start.
     void reload()
     {
         const Result<ForwarderSettings> loaded = readForwarderSettings(settingsFile);
@@ -362,6 +367,7 @@
         }
         telemetry.reportReload(settings, loaded.assume_value());
         settings.logLevel = loaded.assume_value().logLevel;
+        settings.stopLimit = loaded.assume_value().stopLimit;
         log.setLevel(parseLogLevel(settings.logLevel));
     }
 
--- a/src/forwarder/forwardertelemetry.cpp
+++ b/src/forwarder/forwardertelemetry.cpp
@@ -413,7 +413,11 @@
                  {{"name", settings.name},
                   {"version", DAMASKHALL_VERSION},
                   {"data_centre", settings.dataCentre},
-                  {"listen", toString(settings.listen)}});
+                  {"listen", toString(settings.listen)},
+                  {"leaving_limit_ms", std::to_string(settings.leavingLimit.value)},
+                  {"declaration_limit_ms", std::to_string(settings.declarationLimit.value)},
+                  {"flow_lifetime_ms", std::to_string(settings.flowLifetime.value)},
+                  {"stop_limit_ms", std::to_string(settings.stopLimit.value)}});
 }
 
 void ForwarderTelemetry::reportStopProgress(std::string_view message,
@@ -426,7 +430,10 @@
                                       const ForwarderSettings &after)
 {
     m_d->log.log(LogLevel::Info, "process", "The settings were read again.",
-                 {{"log_level_before", before.logLevel}, {"log_level", after.logLevel}});
+                 {{"log_level_before", before.logLevel},
+                  {"log_level", after.logLevel},
+                  {"stop_limit_ms_before", std::to_string(before.stopLimit.value)},
+                  {"stop_limit_ms", std::to_string(after.stopLimit.value)}});
 }
 
 void ForwarderTelemetry::reportReloadFailure(const Error &error)
--- a/tests/config/forwardersettings_test.cpp
+++ b/tests/config/forwardersettings_test.cpp
@@ -75,6 +75,70 @@
     }
 }
 
+/// Returns the complete settings with one entry replaced or added.
+std::string withEntry(const std::string &key, const std::string &value)
+{
+    std::string text = Complete;
+    const std::size_t begin = text.find("\n" + key + " = ");
+    if (begin != std::string::npos) {
+        text.erase(begin + 1, text.find('\n', begin + 1) - begin);
+    }
+    return text + key + " = " + value + "\n";
+}
+
+// Guards against instances that cannot start again after the platform has changed a limit to a
+// number with a fraction.
+TEST(ForwarderSettingsTest, ReadsLimitsWithAFraction)
+{
+    const std::vector<std::pair<std::string, Milliseconds ForwarderSettings::*>> limits = {
+            {"leaving_limit", &ForwarderSettings::leavingLimit},
+            {"declaration_limit", &ForwarderSettings::declarationLimit},
+            {"flow_lifetime", &ForwarderSettings::flowLifetime},
+            {"stop_limit", &ForwarderSettings::stopLimit},
+            {"confirmation", &ForwarderSettings::confirmation},
+            {"evacuation_limit", &ForwarderSettings::evacuationLimit}};
+    for (const auto &[key, member] : limits) {
+        Diagnostics diagnostics("front.ini");
+        EXPECT_EQ(check(withEntry(key, "6.5 s"), diagnostics).*member, 6500_ms) << key;
+        EXPECT_EQ(check(withEntry(key, "2500.0 ms"), diagnostics).*member, 2500_ms) << key;
+        EXPECT_TRUE(diagnostics.isEmpty()) << diagnostics.text();
+    }
+}
+
+// Guards against instances that do not start because the platform states a limit of zero, or states
+// true, false or nothing instead of a figure.
+TEST(ForwarderSettingsTest, TakesFiguresThatAreNotStated)
+{
+    for (const char *value : {"", "s", "ms", "true", "false", "true s", "false ms"}) {
+        for (const char *key : {"leaving_limit", "declaration_limit", "flow_lifetime", "stop_limit",
+                                "evacuation_limit", "cold_overshoot", "cold_slack", "link_mbps"}) {
+            Diagnostics diagnostics("front.ini");
+            const ForwarderSettings settings = check(withEntry(key, value), diagnostics);
+            EXPECT_TRUE(diagnostics.isEmpty()) << diagnostics.text();
+            EXPECT_EQ(settings.leavingLimit, 3_s);
+            EXPECT_EQ(settings.declarationLimit, 3_s);
+            EXPECT_EQ(settings.flowLifetime, 60_s);
+            EXPECT_EQ(settings.stopLimit, 6_s);
+            EXPECT_EQ(settings.evacuationLimit, 0_ms);
+            EXPECT_EQ(settings.coldOvershoot, 1.0);
+            EXPECT_EQ(settings.linkMbps, 0.0);
+        }
+    }
+    Diagnostics diagnostics("front.ini");
+    EXPECT_EQ(check(withEntry("stop_limit", "0 s"), diagnostics).stopLimit, 1_ms);
+    EXPECT_TRUE(diagnostics.isEmpty()) << diagnostics.text();
+}
+
+// Guards against a mistake in a limit that is taken for one that is not stated.
+TEST(ForwarderSettingsTest, RejectsLimitsThatAreNoDurations)
+{
+    for (const char *value : {"6", "-6 s", "six s", "6 parsecs", "nan s", "truely s"}) {
+        Diagnostics diagnostics("front.ini");
+        check(withEntry("stop_limit", value), diagnostics);
+        EXPECT_NE(diagnostics.text().find("stop_limit"), std::string::npos) << value;
+    }
+}
+
 // Guards against an operator who mends one mistake after the other.
 TEST(ForwarderSettingsTest, ReportsAllMistakesWithTheirLines)
 {
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -85,5 +85,22 @@
     }
 }
 
+// Guards against a limit that a platform writes with a fraction and that cannot be read.
+TEST(Units, DecimalDurationsMayHaveAFraction)
+{
+    const std::vector<std::pair<const char *, Milliseconds>> readable = {
+            {"6.5 s", 6500_ms},     {"6.0 s", 6_s},       {"6 s", 6_s},
+            {"2999.9 ms", 2999_ms}, {"1.001 s", 1001_ms}, {"0.29 s", 290_ms},
+            {"3e3 ms", 3_s},        {"6.5E-1 s", 650_ms}, {"1e-9 ms", 1_ms},
+            {"0 s", 0_ms},          {"0.0 ms", 0_ms},     {"1e12 s", {1'000'000'000'000'000}}};
+    for (const auto &[text, expected] : readable) {
+        EXPECT_EQ(parseDecimalDuration(text), expected) << text;
+    }
+    for (const char *text : {"", "5", "6.5", "s", " 6 s", "-1 s", "-0.5 s", "+6 s", "1,5 s", "2 S",
+                             "nan s", "inf s", "1e400 s", "1.1e12 s", "true s", "6.5.1 s"}) {
+        EXPECT_FALSE(parseDecimalDuration(text)) << text;
+    }
+}
+
 } // namespace
 } // namespace damaskhall
