Tell a new flow from a used port from a repeated opening packet

Cause: every opening packet from recorded addresses was taken for a retransmission of the recorded flow, and a retransmission was checked against the service that was recorded for the same upstream, not against the route. Evidence: the packets arrive with copy=0 and another sequence number and are logged as opening_repeated.

Change: the record keeps the sequence number of the opening packet. One with another number is a new flow and passes admission, cold limits and placement; a retransmission stays at its upstream only if the route leads to its service. So a client is also answered while the upstream of its flow before is leaving, and is not reset for a route that a newer declaration may have.

Failed before the change: five tests of FlowReusedPort and FlowOpeningRetransmission.MoveWithTheirRouteToAnotherService.

--- a/src/core/flow/flowrouter.cpp
+++ b/src/core/flow/flowrouter.cpp
@@ -28,11 +28,25 @@
 /// Minimum time between two requests to confirm the declaration; a read of the store takes less.
 constexpr Milliseconds ConfirmationInterval = 500_ms;
 
+/// Upper bound for the bytes that a client sends while copies of its opening packet may still
+/// arrive. The first sequence number of a flow is drawn from all 32-bit numbers.
+constexpr std::int32_t MaxFlowStartBytes = 1 << 20;
+
 constexpr std::int32_t sequenceDistance(std::uint32_t from, std::uint32_t to)
 {
     return static_cast<std::int32_t>(to - from);
 }
 
+// Returns whether an opening packet is a retransmission of the one that opened @p flow.
+bool isOpeningOf(const Flow &flow, const FlowPacket &packet)
+{
+    if (flow.wasOpeningSeen) {
+        return packet.sequence == flow.firstSequence;
+    }
+    const std::int32_t sent = sequenceDistance(packet.sequence, flow.firstSequence);
+    return sent > 0 && sent <= MaxFlowStartBytes;
+}
+
 FlowDecision makeDecision(FlowAction action, FlowReason reason)
 {
     FlowDecision decision;
@@ -103,6 +117,16 @@
     return makeDecision(FlowAction::Hold, FlowReason::NotStarted);
 }
 
+Flow *FlowRouter::findFlow(const FlowPacket &packet)
+{
+    Flow *flow = m_flows.find(packet.key);
+    if (flow && packet.isOpening && !isOpeningOf(*flow, packet)) {
+        m_flows.erase(packet.key);
+        return nullptr;
+    }
+    return flow;
+}
+
 // A removed route ends its flows. A route that is missing in the declaration in force may have been
 // added by a newer one, under which another balancer opened the flow: the flow continues by its
 // cookie until the route is known to be removed.
@@ -110,7 +134,7 @@
 {
     const FlowKey &key = context.packet.key;
     context.route = m_view->routes().find(key.route);
-    context.flow = m_flows.find(key);
+    context.flow = findFlow(context.packet);
     if (context.route) {
         return std::nullopt;
     }
@@ -167,7 +191,7 @@
     Flow &flow = *context.flow;
     const UpstreamRecord *record = m_view->findHolder(flow.upstream);
     const UpstreamStats &stats = m_upstreamStats.at(flow.statsId);
-    const bool mayServe = record && record->entry.service == stats.service &&
+    const bool mayServe = record && routesTo(*context.route, record->entry.service) &&
                           !m_view->isEvacuated(record->entry.dataCentre) &&
                           (record->health == UpstreamHealth::Ready ||
                            record->health == UpstreamHealth::Unconfirmed);
@@ -221,6 +245,8 @@
     m_spillover.countFlow(record->entry.dataCentre, preferred);
     Flow &flow = m_flows.insert(context.packet.key, record->entry, FlowPhase::Opening, context.now);
     flow.wasRouteDeclared = true;
+    flow.firstSequence = context.packet.sequence;
+    flow.wasOpeningSeen = true;
     flow.nextClientSequence = context.packet.sequence + 1;
     flow.requestAt = firstAttemptAt;
     m_upstreamStats.recordOpening(flow.statsId, context.now);
@@ -342,6 +368,7 @@
     if (!packet.isReset && !packet.isClosing) {
         Flow &flow = m_flows.insert(packet.key, record->entry, FlowPhase::Open, context.now);
         flow.acknowledged = packet.acknowledgment;
+        flow.firstSequence = packet.sequence;
         flow.nextClientSequence = packet.sequence;
         context.flow = &flow;
         updateFlow(context);
--- a/src/core/flow/flowrouter.h
+++ b/src/core/flow/flowrouter.h
@@ -100,6 +100,9 @@
 
     using Filter = std::optional<FlowDecision> (FlowRouter::*)(PacketContext &);
 
+    /// Returns the record of the flow that @p packet belongs to, or null. A client may use its port
+    /// again for a new flow, while this instance still has the record of the one before.
+    Flow *findFlow(const FlowPacket &packet);
     std::optional<FlowDecision> filterNotStarted(PacketContext &context);
     std::optional<FlowDecision> filterRoute(PacketContext &context);
     std::optional<FlowDecision> filterOpening(PacketContext &context);
--- a/src/core/flow/flowtable.h
+++ b/src/core/flow/flowtable.h
@@ -38,6 +38,10 @@
     /// When the last request was sent; while the flow is opening: when the first opening packet was
     /// sent.
     Milliseconds requestAt;
+    /// Sequence number of the client's first packet that arrived here: of the opening packet, if
+    /// wasOpeningSeen is set.
+    std::uint32_t firstSequence = 0;
+    bool wasOpeningSeen = false;
     /// Sequence number after the last byte that the client has sent.
     std::uint32_t nextClientSequence = 0;
     /// Last acknowledgment number from the client.
--- a/tests/core/flow/flowrouter_test.cpp
+++ b/tests/core/flow/flowrouter_test.cpp
@@ -666,6 +666,147 @@
     EXPECT_EQ(fixture.send(makeDataPacket(1, first.cookie, 10)).upstream, first.upstream);
 }
 
+// A client that uses its port again for a new flow, while this balancer still has the record of the
+// flow before.
+class FlowReusedPort : public ::testing::Test
+{
+protected:
+    static constexpr std::uint16_t Port = 1;
+    static constexpr std::uint32_t NewSequence = 0x9a3c0021;
+
+    FlowReusedPort()
+    {
+        m_desk = makeEntry(9);
+        m_desk.service = test::Desk;
+        publishAll();
+    }
+
+    void publishAll(UpstreamHealth firstHealth = UpstreamHealth::Ready)
+    {
+        fixture.publishRecords({{makeEntry(1), firstHealth, {}},
+                                {makeEntry(2), UpstreamHealth::Ready, {}},
+                                {m_desk, UpstreamHealth::Ready, {}}});
+    }
+
+    /// Opens a flow at upstream 1.
+    FlowDecision openAtFirst()
+    {
+        fixture.publish({makeEntry(1)});
+        const FlowDecision decision = fixture.open(Port);
+        publishAll();
+        return decision;
+    }
+
+    /// Declares that the board's route leads to the desk.
+    void redirectRoute()
+    {
+        auto routes = std::make_shared<RouteTable>(*fixture.routes);
+        routes->routes[test::BoardRoute].shares = {{test::Desk, 1}};
+        ++routes->revision.value;
+        fixture.routes = routes;
+        publishAll();
+    }
+
+    static FlowPacket newOpening(std::uint32_t copy = 0)
+    {
+        FlowPacket packet = makeOpeningPacket(Port, copy);
+        packet.sequence = NewSequence;
+        return packet;
+    }
+
+    UpstreamEntry m_desk;
+    FlowRouterFixture fixture;
+};
+
+// Guards against a new flow that is taken for a retransmission and opened at the upstream of the
+// flow before, although its route leads to another service meanwhile.
+TEST_F(FlowReusedPort, OpensWhereTheDeclarationSendsIt)
+{
+    for (const bool isClosed : {false, true}) {
+        const FlowDecision first = openAtFirst();
+        if (isClosed) {
+            FlowPacket closing = makeDataPacket(Port, first.cookie, 0);
+            closing.isClosing = true;
+            fixture.send(closing);
+        }
+        redirectRoute();
+        const FlowDecision next = fixture.send(newOpening());
+        EXPECT_EQ(next.reason, FlowReason::Placed);
+        EXPECT_EQ(next.upstream, m_desk.key);
+        fixture.routes = makeRoutes(fixture.routes->revision.value + 1);
+        fixture.now += 20_s;
+        fixture.router.tick(fixture.now);
+    }
+}
+
+// Guards against the same fault at a balancer that did not see how the flow before began.
+TEST_F(FlowReusedPort, OpensWhereTheDeclarationSendsItAfterARecoveredFlow)
+{
+    const FlowCookie cookie = flowCookie(makeEntry(1).key.id, test::BoardRoute);
+    ASSERT_EQ(fixture.send(makeDataPacket(Port, cookie, 10)).reason, FlowReason::Recovered);
+    redirectRoute();
+    EXPECT_EQ(fixture.send(newOpening()).upstream, m_desk.key);
+}
+
+// Guards against new flows at a leaving upstream, and against clients whose new flows are never
+// answered because the one before was there.
+TEST_F(FlowReusedPort, OpensElsewhereIfTheUpstreamOfTheFlowBeforeIsLeaving)
+{
+    openAtFirst();
+    publishAll(UpstreamHealth::Leaving);
+    const FlowDecision next = fixture.send(newOpening());
+    EXPECT_EQ(next.action, FlowAction::Forward);
+    EXPECT_EQ(next.upstream, makeEntry(2).key);
+}
+
+// Guards against a new flow that ends with the route of the flow before, although a newer
+// declaration, which this balancer has not read yet, may have the route again.
+TEST_F(FlowReusedPort, IsNotResetForARouteThatANewerDeclarationMayHave)
+{
+    openAtFirst();
+    auto routes = std::make_shared<RouteTable>(*fixture.routes);
+    routes->routes.erase(test::BoardRoute);
+    fixture.routes = routes;
+    publishAll();
+    fixture.router.handleDeclarationState({{9}, {}, {}});
+    const FlowDecision next = fixture.send(newOpening());
+    EXPECT_EQ(next.action, FlowAction::Drop);
+    EXPECT_EQ(next.reason, FlowReason::NoRouteUnconfirmed);
+}
+
+// Guards against two upstreams that both answer one client: copies of the new opening packet, and
+// late ones of the flow before.
+TEST_F(FlowReusedPort, TellsCopiesOfAnOpeningPacketFromNewFlows)
+{
+    const FlowDecision first = openAtFirst();
+    EXPECT_EQ(fixture.send(makeOpeningPacket(Port, 1)).reason, FlowReason::OpeningRepeated);
+    EXPECT_EQ(fixture.send(makeDataPacket(Port, first.cookie, 10)).upstream, first.upstream);
+
+    const FlowDecision next = fixture.send(newOpening());
+    EXPECT_EQ(next.reason, FlowReason::Placed);
+    fixture.now += 3_ms;
+    fixture.send(makeDataPacket(Port, next.cookie, 0, NewSequence + 1));
+    const FlowDecision copy = fixture.send(newOpening(1));
+    EXPECT_EQ(copy.reason, FlowReason::OpeningRepeated);
+    EXPECT_EQ(copy.upstream, next.upstream);
+}
+
+// Guards against an opening packet that is sent again, after a change of its route, to the service
+// that only the earlier declaration allows.
+TEST_F(FlowOpeningRetransmission, MoveWithTheirRouteToAnotherService)
+{
+    UpstreamEntry desk = makeEntry(9);
+    desk.service = test::Desk;
+    fixture.publish({makeEntry(1), desk});
+    ASSERT_EQ(fixture.send(makeOpeningPacket(1)).upstream, makeEntry(1).key);
+    auto routes = std::make_shared<RouteTable>(*fixture.routes);
+    routes->routes[test::BoardRoute].shares = {{test::Desk, 1}};
+    fixture.routes = routes;
+    fixture.publish({makeEntry(1), desk});
+    fixture.now += 20_ms;
+    EXPECT_EQ(fixture.send(makeOpeningPacket(1, 1)).upstream, desk.key);
+}
+
 // Choice of the upstream for new flows.
 class FlowPlacement : public ::testing::Test
 {
