Use a flow's record only for packets that continue its numbers

Cause: an instance that had not seen the end of the earlier flow kept its record, and the record won over the cookie of every packet with these addresses. Evidence: the earlier flow was placed at that instance, ended at the added one, and its upstream is the one that resets; with another port no flow broke.

Change: packets whose sequence or acknowledgment number does not continue the record go by their cookie and replace the record once it is 2 s old. The record still wins over a wrong cookie while the numbers continue, which a late answer of a second upstream can leave at the client.

Failed before the change: five tests of FlowReusedPort; one more guards the record of a flow that continues.

--- a/src/core/flow/flowrouter.cpp
+++ b/src/core/flow/flowrouter.cpp
@@ -32,6 +32,13 @@
 /// arrive. The first sequence number of a flow is drawn from all 32-bit numbers.
 constexpr std::int32_t MaxFlowStartBytes = 1 << 20;
 
+/// Upper bound for the bytes of a flow that pass through other balancers while this one has a
+/// record of it. Larger numbers of a flow are found by its cookie, as if there were no record.
+constexpr std::int32_t MaxSequenceGap = 1 << 24;
+/// Age of a record's last packet from which packets of another flow with the same addresses replace
+/// it: until then they may be late ones of the flow before.
+constexpr Milliseconds StaleRecordAge = 2_s;
+
 constexpr std::int32_t sequenceDistance(std::uint32_t from, std::uint32_t to)
 {
     return static_cast<std::int32_t>(to - from);
@@ -47,6 +54,24 @@
     return sent > 0 && sent <= MaxFlowStartBytes;
 }
 
+bool isWithin(std::int32_t distance, std::int32_t limit)
+{
+    return distance >= -limit && distance <= limit;
+}
+
+// Returns whether a packet that opens no flow continues the numbers of @p flow. A client's next
+// flow from the same port begins with numbers that have nothing to do with these.
+bool continues(const Flow &flow, const FlowPacket &packet)
+{
+    const std::int32_t sent = sequenceDistance(flow.nextClientSequence, packet.sequence);
+    if (flow.phase == FlowPhase::Opening) {
+        // A reset may have the number of the opening packet.
+        return sent >= -1 && sent <= MaxFlowStartBytes;
+    }
+    const std::int32_t answered = sequenceDistance(flow.acknowledged, packet.acknowledgment);
+    return isWithin(sent, MaxSequenceGap) && (packet.isReset || isWithin(answered, MaxSequenceGap));
+}
+
 FlowDecision makeDecision(FlowAction action, FlowReason reason)
 {
     FlowDecision decision;
@@ -124,7 +149,7 @@
         m_flows.erase(packet.key);
         return nullptr;
     }
-    return flow;
+    return flow && (packet.isOpening || continues(*flow, packet)) ? flow : nullptr;
 }
 
 // A removed route ends its flows. A route that is missing in the declaration in force may have been
@@ -365,7 +390,10 @@
         return lost;
     }
     const FlowDecision decision = makeForwardDecision(context, *record, FlowReason::Recovered);
-    if (!packet.isReset && !packet.isClosing) {
+    const Flow *other = m_flows.find(packet.key);
+    const bool isRecordFree = !other || context.now - other->lastSeen >= StaleRecordAge;
+    if (!packet.isReset && !packet.isClosing && isRecordFree) {
+        m_flows.erase(packet.key);
         Flow &flow = m_flows.insert(packet.key, record->entry, FlowPhase::Open, context.now);
         flow.acknowledged = packet.acknowledgment;
         flow.firstSequence = packet.sequence;
--- a/src/core/flow/flowrouter.h
+++ b/src/core/flow/flowrouter.h
@@ -101,7 +101,8 @@
     using Filter = std::optional<FlowDecision> (FlowRouter::*)(PacketContext &);
 
     /// Returns the record of the flow that @p packet belongs to, or null. A client may use its port
-    /// again for a new flow, while this instance still has the record of the one before.
+    /// again for a new flow, while this instance still has the record of the one before. Such a
+    /// record is removed if the packet opens the new flow.
     Flow *findFlow(const FlowPacket &packet);
     std::optional<FlowDecision> filterNotStarted(PacketContext &context);
     std::optional<FlowDecision> filterRoute(PacketContext &context);
--- a/tests/core/flow/flowrouter_test.cpp
+++ b/tests/core/flow/flowrouter_test.cpp
@@ -791,6 +791,107 @@
     EXPECT_EQ(copy.upstream, next.upstream);
 }
 
+// Guards against the reset of an open flow: another balancer opened it while the routers sent this
+// client's packets there, and this one sent them to the upstream of the flow before.
+TEST_F(FlowReusedPort, ContinuesByItsCookieWhereTheFlowBeforeIsStillRecorded)
+{
+    openAtFirst();
+    fixture.now += 5_s;
+    const FlowCookie cookie = flowCookie(makeEntry(2).key.id, test::BoardRoute);
+    const FlowDecision moved =
+            fixture.send(makeDataPacket(Port, cookie, 10, NewSequence, 0x70000000));
+    EXPECT_EQ(moved.upstream, makeEntry(2).key);
+    EXPECT_EQ(moved.reason, FlowReason::Recovered);
+    const FlowDecision known =
+            fixture.send(makeDataPacket(Port, cookie, 10, NewSequence + 10, 0x70000100));
+    EXPECT_EQ(known.upstream, makeEntry(2).key);
+    EXPECT_EQ(known.reason, FlowReason::Established) << "the new flow is recorded";
+    EXPECT_EQ(fixture.router.flowCount(), 1U);
+}
+
+// Guards against the same fault if only one of the numbers shows that the flow is another one.
+TEST_F(FlowReusedPort, IsToldFromTheFlowBeforeByEitherNumber)
+{
+    const FlowCookie cookie = flowCookie(makeEntry(2).key.id, test::BoardRoute);
+    for (const auto &[sequence, acknowledgment] :
+         {std::pair(1001U, 0x70000000U), std::pair(NewSequence, 5000U)}) {
+        openAtFirst();
+        EXPECT_EQ(fixture.send(makeDataPacket(Port, cookie, 10, sequence, acknowledgment)).upstream,
+                  makeEntry(2).key);
+        fixture.now += 20_s;
+        fixture.router.tick(fixture.now);
+    }
+}
+
+// Guards against the reset of a live flow because the upstream of the flow before has been replaced
+// at its address, or because its route was removed and declared again.
+TEST_F(FlowReusedPort, DoesNotEndWithTheUpstreamOfTheFlowBefore)
+{
+    openAtFirst();
+    fixture.now += 5_s;
+    publishAll(UpstreamHealth::Replaced);
+    const FlowCookie cookie = flowCookie(makeEntry(2).key.id, test::BoardRoute);
+    const FlowDecision moved =
+            fixture.send(makeDataPacket(Port, cookie, 10, NewSequence, 0x70000000));
+    EXPECT_EQ(moved.action, FlowAction::Forward);
+    EXPECT_EQ(moved.upstream, makeEntry(2).key);
+}
+
+// Guards against a packet of a new flow that goes to the upstream of the flow before, as this
+// balancer does not know the upstream of its cookie yet: that upstream would reset the new flow.
+TEST_F(FlowReusedPort, IsSilentWhileTheUpstreamOfTheNewFlowIsUnknown)
+{
+    openAtFirst();
+    const FlowCookie cookie = flowCookie(makeEntry(77).key.id, test::BoardRoute);
+    const FlowDecision unknown =
+            fixture.send(makeDataPacket(Port, cookie, 10, NewSequence, 0x70000000));
+    EXPECT_EQ(unknown.action, FlowAction::Drop);
+    EXPECT_EQ(unknown.reason, FlowReason::UnknownCookie);
+}
+
+// Guards against late packets of the flow before that take over the record of the new flow: its
+// handshake would end at the upstream of the flow before.
+TEST_F(FlowReusedPort, IsNotMovedByLatePacketsOfTheFlowBefore)
+{
+    const FlowDecision first = openAtFirst();
+    publishAll(UpstreamHealth::Leaving);
+    const FlowDecision next = fixture.send(newOpening());
+    ASSERT_EQ(next.upstream, makeEntry(2).key);
+    const FlowDecision late = fixture.send(makeDataPacket(Port, first.cookie, 0, 1100, 6000));
+    EXPECT_EQ(late.upstream, first.upstream);
+    for (std::uint32_t sent = 0; sent < 40; sent += 20) {
+        EXPECT_EQ(fixture.send(makeDataPacket(Port, next.cookie, 20, NewSequence + 1 + sent,
+                                              0x70000000))
+                          .upstream,
+                  next.upstream);
+        EXPECT_EQ(fixture.send(makeDataPacket(Port, first.cookie, 0, 1100, 6000)).upstream,
+                  first.upstream);
+    }
+    EXPECT_EQ(fixture.send(newOpening(1)).upstream, next.upstream);
+}
+
+// Guards against a record that no longer wins over a wrong cookie, which the late answer of a
+// second upstream to a copy of the opening packet leaves at the client, as the numbers have
+// advanced.
+TEST_F(FlowReusedPort, DoesNotDisturbAFlowThatContinues)
+{
+    const FlowDecision first = openAtFirst();
+    const FlowCookie wrong = flowCookie(makeEntry(2).key.id, test::BoardRoute);
+    std::uint32_t sequence = 1001;
+    std::uint32_t acknowledgment = 5000;
+    // Numbers wrap around, and other balancers may have carried megabytes.
+    for (int i = 0; i < 600; ++i) {
+        EXPECT_EQ(fixture.send(makeDataPacket(Port, wrong, 100, sequence, acknowledgment)).upstream,
+                  first.upstream);
+        sequence += 8'000'000;
+        acknowledgment += 16'000'000;
+    }
+    EXPECT_EQ(
+            fixture.send(makeDataPacket(Port, wrong, 0, sequence - 60'000, acknowledgment - 60'000))
+                    .upstream,
+            first.upstream);
+}
+
 // Guards against an opening packet that is sent again, after a change of its route, to the service
 // that only the earlier declaration allows.
 TEST_F(FlowOpeningRetransmission, MoveWithTheirRouteToAnotherService)
