List the items when a watch is too large, and leave out long values

Cause: a watch has no bound, and an answer above 16 MiB counted as lost, so that the same watch was repeated until the store discarded its history. Evidence: 'oversized: the on_body callback failed' at the readers, and watch/retry without bytes from then on at all instances.

Change: values above 64 KiB, which name no upstream, are left out while the answer arrives; the declaration is kept. An answer that is still too large has an outcome of its own, after which the instance lists, page by page.

--- a/src/core/flow/flowcontroller.cpp
+++ b/src/core/flow/flowcontroller.cpp
@@ -106,6 +106,9 @@
     if (m_reader.isCurrentDeclarationRead()) {
         confirmDeclaration(reply, now);
     }
+    if (reply.isDeclarationLeftOut) {
+        m_reader.requestCurrentDeclaration(now);
+    }
     handleKnownRevision();
     m_hasPendingUpdate = m_hasPendingUpdate ||
                          (kind != StoreCall::Kind::Declaration && m_reader.isResultForPeers());
--- a/src/core/flow/flowcontroller.h
+++ b/src/core/flow/flowcontroller.h
@@ -30,6 +30,8 @@
     std::optional<DirectoryUpdate> snapshot;
     /// Key after which the next page begins, if there is one.
     std::optional<std::string> nextPage;
+    /// The response has a declaration that was left out because of its size.
+    bool isDeclarationLeftOut = false;
     /// Size of the response's body in bytes.
     std::size_t bodyBytes = 0;
     /// Error text for the log. For a snapshot that cannot be decoded the outcome is Done and the
--- a/src/core/flow/storereader.cpp
+++ b/src/core/flow/storereader.cpp
@@ -103,6 +103,8 @@
         return "history_lost";
     case StoreOutcome::Refused:
         return "refused";
+    case StoreOutcome::Oversized:
+        return "oversized";
     case StoreOutcome::Unanswered:
         break;
     }
@@ -233,7 +235,11 @@
             return outcome;
         }
     }
-    if (outcome == StoreOutcome::Refused || outcome == StoreOutcome::Unanswered) {
+    if (outcome == StoreOutcome::Oversized && handleOversized(now)) {
+        return outcome;
+    }
+    if (outcome == StoreOutcome::Refused || outcome == StoreOutcome::Unanswered ||
+        outcome == StoreOutcome::Oversized) {
         handleFailure(now);
         return outcome;
     }
@@ -295,6 +301,24 @@
     m_isCurrentDeclarationRequested = m_isCurrentDeclarationRequested || isCurrentDeclarationRead();
 }
 
+bool StoreReader::handleOversized(Milliseconds now)
+{
+    if (m_kind != StoreCall::Kind::Watch && m_kind != StoreCall::Kind::Snapshot) {
+        return false;
+    }
+    m_due = now;
+    m_failures = 0;
+    if (m_kind == StoreCall::Kind::Snapshot) {
+        handleSnapshot({}, now);
+        return true;
+    }
+    // Pages are bounded, and the list also contains what the changes would have said.
+    m_nextWatch = m_startedAt + m_times.watchInterval;
+    m_isListUrgent = m_hasFollowed;
+    restartReading(Phase::List);
+    return true;
+}
+
 void StoreReader::handleSnapshot(StoreRevision revision, Milliseconds now)
 {
     if (revision.value != 0) {
@@ -323,9 +347,7 @@
         return;
     }
     beginFollowing(*m_listRevision, now);
-    if (isOnlyPage) {
-        m_due = std::max(now, m_startedAt + m_times.watchInterval);
-    }
+    m_due = std::max(now, isOnlyPage ? m_startedAt + m_times.watchInterval : m_nextWatch);
     if (m_isLarge) {
         m_snapshotDue = now;
         m_isSnapshotMissing = true;
@@ -336,8 +358,11 @@
 
 void StoreReader::drawListing(Milliseconds now)
 {
+    // Peers rely on the few that read for them, which do not wait for each other. A follower that
+    // reads has heard nothing from them.
+    const bool isUrgent = m_isListUrgent || (m_hasFollowed && !m_isFollower);
     const std::uint64_t share = ListingShareDivisor >> std::min<std::uint32_t>(m_listDraws, 63);
-    if (share <= 1 || randomBelow(m_random, share) == 0) {
+    if (isUrgent || share <= 1 || randomBelow(m_random, share) == 0) {
         m_phase = Phase::List;
         return;
     }
@@ -349,8 +374,10 @@
 void StoreReader::beginFollowing(StoreRevision revision, Milliseconds now)
 {
     m_listDraws = 0;
+    m_isListUrgent = false;
     m_after = revision;
     if (!isFollowing()) {
+        m_hasFollowed = true;
         m_phase = Phase::Following;
         handleSnapshotSaved(now);
     }
--- a/src/core/flow/storereader.h
+++ b/src/core/flow/storereader.h
@@ -84,6 +84,8 @@
     Refused,
     /// No response, or one that cannot be decoded.
     Unanswered,
+    /// The response is too large to be received; the same call would fail again.
+    Oversized,
 };
 
 /// Returns the name in lower case with underscores. Thread safety: reentrant.
@@ -91,7 +93,8 @@
 
 /// Decides when the store is read. Reads a snapshot of the directory and the changes since, or
 /// lists all items if there is no snapshot; then watches for changes at a limited rate. Starts
-/// again when changes were lost. Failed reads are retried with jittered exponential backoff.
+/// again when changes were lost, and lists all items when the changes are too large for one
+/// response. Failed reads are retried with jittered exponential backoff.
 ///
 /// Snapshots address the load when many instances of a large fleet start at once: lists by all of
 /// them would saturate the store's link for seconds. Snapshots are saved by readers only, and only
@@ -199,13 +202,16 @@
     StoreCall::Reason reasonFor(StoreCall::Kind kind) const;
     bool beginEra(StoreEra era);
     void handleFailure(Milliseconds now);
+    /// Replaces a call whose response is too large by one whose response is bounded. Returns false
+    /// if there is none.
+    bool handleOversized(Milliseconds now);
     void handleSnapshot(StoreRevision revision, Milliseconds now);
     void handlePage(StoreRevision asOf, std::optional<std::string> nextPage, Milliseconds now);
     /// Discards what has been read of a list, and goes on with @p phase.
     void restartReading(Phase phase);
     void beginFollowing(StoreRevision revision, Milliseconds now);
-    /// Decides at random whether this instance lists the whole of a large directory or waits for a
-    /// snapshot.
+    /// Decides whether this instance lists the whole of a large directory or waits for a snapshot:
+    /// at random, unless others rely on it.
     void drawListing(Milliseconds now);
 
     Times m_times;
@@ -231,6 +237,12 @@
     /// misses no change.
     std::optional<StoreRevision> m_listRevision;
     std::string m_page;
+    /// When the next watch may begin after a list.
+    Milliseconds m_nextWatch;
+    /// All changes were known once.
+    bool m_hasFollowed = false;
+    /// The list replaces changes that were too large to be received.
+    bool m_isListUrgent = false;
     /// Calls of drawListing() that decided to wait.
     std::uint32_t m_listDraws = 0;
     std::uint32_t m_failures = 0;
--- a/src/io/httpchannel.cpp
+++ b/src/io/httpchannel.cpp
@@ -15,7 +15,8 @@
 
 namespace {
 
-/// Above the largest answer of a platform: pages are bounded at about 1 MB before encoding.
+/// Bounds the memory of an answer on small instances. Pages of a list are bounded at about 1 MB
+/// before encoding; an answer with all changes has no bound.
 constexpr std::size_t MaxReplyBytes = std::size_t{16} * 1024 * 1024;
 constexpr std::size_t ReadBufferBytes = 16'384;
 /// Time limits within which a whole answer arrives, if each of its parts arrives within one: 1 MB
@@ -52,7 +53,12 @@
         };
         settings.on_body = [](http_parser *raw, const char *at, std::size_t length) {
             auto *self = static_cast<Private *>(raw->data);
-            self->reply.body.append(at, length);
+            self->reply.receivedBytes += length;
+            if (self->appendBody) {
+                self->appendBody({at, length}, self->reply.body);
+            } else {
+                self->reply.body.append(at, length);
+            }
             return self->reply.body.size() > MaxReplyBytes ? 1 : 0;
         };
         settings.on_message_complete = [](http_parser *raw) {
@@ -65,6 +71,7 @@
     void start(const HttpChannelRequest &request, Milliseconds timeout, Handler done)
     {
         handler = std::move(done);
+        appendBody = request.appendBody;
         reply = {};
         isInHeaderName = false;
         isComplete = false;
@@ -160,8 +167,12 @@
         }
         const auto code = static_cast<http_errno>(parser.http_errno);
         if (code != HPE_OK) {
-            fail(reply.body.size() > MaxReplyBytes ? ErrorCode::Oversized : ErrorCode::Malformed,
-                 http_errno_description(code));
+            if (reply.body.size() > MaxReplyBytes) {
+                fail(ErrorCode::Oversized,
+                     "the body has more than " + std::to_string(MaxReplyBytes) + " bytes");
+            } else {
+                fail(ErrorCode::Malformed, http_errno_description(code));
+            }
             return;
         }
         awaitProgress(current);
@@ -205,6 +216,7 @@
     http_parser_settings settings{};
     http_parser parser{};
     Handler handler;
+    std::function<void(std::string_view, std::string &)> appendBody;
     HttpChannelReply reply;
     /// The last part of a header that was received belongs to its name.
     bool isInHeaderName = false;
--- a/src/io/httpchannel.h
+++ b/src/io/httpchannel.h
@@ -24,6 +24,9 @@
     std::string target;
     /// Sent as JSON unless empty.
     std::string body;
+    /// Appends what is needed of a part of the response's body to what was received before it. If
+    /// empty, all of it is kept.
+    std::function<void(std::string_view part, std::string &body)> appendBody = {};
 };
 
 struct HttpChannelReply
@@ -41,6 +44,8 @@
     /// In the order in which they were received.
     std::vector<Header> headers;
     std::string body;
+    /// Size of the body as it was received.
+    std::size_t receivedBytes = 0;
 };
 
 /// Asynchronous HTTP/1.1 client of one server on one kept connection, one request at a time. A
@@ -59,8 +64,9 @@
     HttpChannel &operator=(const HttpChannel &) = delete;
 
     /// Sends a request and calls @p handler once, later, with the reply or the error: Unreachable,
-    /// Timeout, Oversized (above 16 MiB) or Malformed. @p timeout: longest time without any part
-    /// of the answer; the whole may take ten times as long. Precondition: no request is under way.
+    /// Timeout, Oversized (more than 16 MiB of the body are kept) or Malformed. @p timeout: longest
+    /// time without any part of the answer; the whole may take ten times as long. Precondition: no
+    /// request is under way.
     void request(const HttpChannelRequest &request, Milliseconds timeout, Handler handler);
 
 private:
--- a/tests/core/flow/flowcontroller_test.cpp
+++ b/tests/core/flow/flowcontroller_test.cpp
@@ -112,6 +112,48 @@
     EXPECT_EQ(controller.takeView(now), nullptr) << "nothing changed";
 }
 
+// Guards against new flows at a leaving upstream and on a removed route, because the changes that
+// say so are too many for one response.
+TEST_F(FlowControllerTest, LearnsByAListWhatIsTooLargeForAWatch)
+{
+    replyWithoutSnapshot();
+    reply(done(10, {{{5}, makeEntry(1)}, {{6}, makeEntry(2)}, declared(7, 3)}));
+    StoreReply tooLarge;
+    tooLarge.outcome = StoreOutcome::Oversized;
+    reply(tooLarge);
+    UpstreamEntry leaving = makeEntry(1);
+    leaving.isLeaving = true;
+    StoreReply first = done(60, {declared(58, 4)});
+    first.nextPage = "servers/i-0";
+    reply(first);
+    const Milliseconds listed = now;
+    reply(done(60, {{{57}, leaving}, {{6}, makeEntry(2)}}));
+    EXPECT_EQ(now, listed) << "a reader lists without waiting for others";
+    const auto view = controller.takeView(now);
+    ASSERT_NE(view, nullptr);
+    EXPECT_EQ(view->routes().revision, Revision{4});
+    ASSERT_EQ(view->candidates(test::Board).size(), 1U);
+    EXPECT_EQ(view->upstreams()[view->candidates(test::Board)[0]].entry.key, makeEntry(2).key);
+    const auto updates = controller.takeDirectoryUpdates(now);
+    ASSERT_FALSE(updates.empty()) << "for the peers";
+    EXPECT_EQ(updates.back().declaration, Revision{4});
+}
+
+// Guards against a declaration that is never applied because it was left out of a large response.
+TEST_F(FlowControllerTest, ReadsADeclarationThatWasLeftOut)
+{
+    replyWithoutSnapshot();
+    StoreReply list = done(10, {{{5}, makeEntry(1)}});
+    list.isDeclarationLeftOut = true;
+    reply(list);
+    EXPECT_FALSE(controller.isUsable());
+    const StoreCall read = awaitCall();
+    EXPECT_EQ(read.kind, StoreCall::Kind::Declaration);
+    EXPECT_FALSE(read.isStaleAllowed);
+    controller.handleReply(done(11, {declared(7, 3)}), now);
+    EXPECT_TRUE(controller.isUsable());
+}
+
 // Guards against a log line for each upstream of a large fleet at each start.
 TEST_F(FlowControllerTest, ReportsTheFirstListAsAWhole)
 {
--- a/tests/core/flow/storereader_test.cpp
+++ b/tests/core/flow/storereader_test.cpp
@@ -40,6 +40,17 @@
         return {};
     }
 
+    /// As awaitCall(), and completes calls that save a snapshot.
+    StoreCall awaitReading()
+    {
+        StoreCall call = awaitCall();
+        while (call.kind == StoreCall::Kind::SaveSnapshot) {
+            completeCall(StoreOutcome::Done);
+            call = awaitCall();
+        }
+        return call;
+    }
+
     StoreOutcome completeCall(StoreOutcome outcome, std::uint64_t asOf = 0,
                               std::optional<std::string> page = {})
     {
@@ -83,6 +94,61 @@
     EXPECT_EQ(watch.after, StoreRevision{100});
 }
 
+// Guards against an instance that asks for the same changes for good, while they are too many for
+// one response, and learns of nothing else.
+TEST_F(StoreReaderTest, ListsWhenTheChangesAreTooLarge)
+{
+    replyWithoutSnapshot();
+    awaitCall();
+    completeCall(StoreOutcome::Done, 100);
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::Watch);
+    const Milliseconds asked = now;
+    completeCall(StoreOutcome::Oversized);
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::List);
+    completeCall(StoreOutcome::Done, 150, "servers/i-5");
+    EXPECT_EQ(awaitCall().pageAfter, "servers/i-5") << "peers rely on this instance";
+    EXPECT_EQ(now, asked) << "without a delay";
+    now += 100_ms;
+    completeCall(StoreOutcome::Done, 160);
+    ASSERT_TRUE(reader.isFollowing());
+    const StoreCall next = awaitReading();
+    EXPECT_EQ(next.kind, StoreCall::Kind::Watch);
+    EXPECT_EQ(next.after, StoreRevision{150});
+    EXPECT_EQ(now, asked + 1_s) << "at the usual rate of watches";
+}
+
+// Guards against the same fault at a follower that reads because its peers are silent, and at an
+// instance that starts from a snapshot.
+TEST_F(StoreReaderTest, ListsInEveryRoleWhenTheChangesAreTooLarge)
+{
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::Snapshot);
+    completeCall(StoreOutcome::Done, 90);
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::Watch);
+    completeCall(StoreOutcome::Oversized);
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::List) << "at its start";
+    completeCall(StoreOutcome::Done, 100);
+    reader.setFollower(true);
+    now += 2_s;
+    EXPECT_EQ(awaitReading().kind, StoreCall::Kind::Watch);
+    completeCall(StoreOutcome::Oversized);
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::List) << "as a follower";
+    completeCall(StoreOutcome::Done, 110);
+    EXPECT_TRUE(reader.isFollowing());
+}
+
+// Guards against an instance that never starts because the saved snapshot is too large, and against
+// one that repeats other calls without a delay.
+TEST_F(StoreReaderTest, ListsWhenTheSnapshotIsTooLarge)
+{
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::Snapshot);
+    completeCall(StoreOutcome::Oversized);
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::List);
+    const Milliseconds asked = now;
+    completeCall(StoreOutcome::Oversized);
+    EXPECT_EQ(awaitCall().kind, StoreCall::Kind::List);
+    EXPECT_GE(now - asked, 50_ms);
+}
+
 // Guards against a store call for each heartbeat of each upstream.
 TEST_F(StoreReaderTest, LimitsTheRateOfWatches)
 {
--- a/tests/io/httpchannel_test.cpp
+++ b/tests/io/httpchannel_test.cpp
@@ -16,10 +16,11 @@
 {
 protected:
     /// Makes one request and waits for its end.
-    Result<HttpChannelReply> call(HttpChannel &target, Milliseconds timeout = Patience)
+    Result<HttpChannelReply> call(HttpChannel &target, Milliseconds timeout = Patience,
+                                  const HttpChannelRequest &request = {"GET", "/path?x=1", {}})
     {
         std::optional<Result<HttpChannelReply>> result;
-        target.request({"GET", "/path?x=1", {}}, timeout,
+        target.request(request, timeout,
                        [&](Result<HttpChannelReply> reply) { result = std::move(reply); });
         context.restart();
         while (!result && context.run_one_for(std::chrono::seconds(5)) > 0) {
@@ -108,6 +109,33 @@
     EXPECT_TRUE(call(channel));
 }
 
+// Guards against an instance that runs out of memory because of one answer, and against the limit
+// being applied to what is not kept.
+TEST_F(HttpChannelTest, BoundsWhatIsKeptOfAnAnswer)
+{
+    constexpr std::size_t Limit = 16 << 20;
+    for (const std::size_t size : {Limit, Limit + 1}) {
+        answer = RawServer::ok(std::string(size, 'x'));
+        const auto whole = call(channel);
+        EXPECT_EQ(static_cast<bool>(whole), size == Limit) << size;
+        if (!whole) {
+            EXPECT_EQ(whole.assume_error().code, ErrorCode::Oversized);
+        }
+        HttpChannelRequest request{"GET", "/path", {}};
+        request.appendBody = [](std::string_view part, std::string &body) {
+            body.append(part.substr(0, 1));
+        };
+        const auto part = call(channel, Patience, request);
+        ASSERT_TRUE(part) << toString(part.assume_error());
+        EXPECT_EQ(part.assume_value().receivedBytes, size);
+        EXPECT_LT(part.assume_value().body.size(), size / 2);
+    }
+    answer = RawServer::ok("next");
+    const auto next = call(channel);
+    ASSERT_TRUE(next) << toString(next.assume_error());
+    EXPECT_EQ(next.assume_value().body, "next") << "as a whole";
+}
+
 // Guards against a caller that mistakes a refusal for a lost answer.
 TEST_F(HttpChannelTest, PassesOnTheStatus)
 {
--- a/tests/support/peercluster.h
+++ b/tests/support/peercluster.h
@@ -168,6 +168,10 @@
     std::set<int> refused;
     /// Refusals name the era of the store.
     bool areErasInRefusals = false;
+    /// Watches from an earlier revision have answers that are too large to be received.
+    std::uint64_t oversizedBefore = 0;
+    /// Lists have two pages, as if there were large items of other programs.
+    bool areListsSplit = false;
     /// Instances that exchange no datagrams with others.
     std::set<int> cutOff;
     /// Calls of each kind and reason since the start.
@@ -279,9 +283,19 @@
             reply.outcome = StoreOutcome::HistoryLost;
             return reply;
         }
+        if (call.kind == StoreCall::Kind::Watch && call.after.value < oversizedBefore) {
+            reply.outcome = StoreOutcome::Oversized;
+            return reply;
+        }
         reply.outcome = StoreOutcome::Done;
         reply.asOf = revision();
-        reply.changes = call.kind == StoreCall::Kind::List ? listItems() : changesFor(call);
+        const bool isFirstOfTwo =
+                call.kind == StoreCall::Kind::List && areListsSplit && call.pageAfter.empty();
+        if (isFirstOfTwo) {
+            reply.nextPage = "servers/";
+        } else {
+            reply.changes = call.kind == StoreCall::Kind::List ? listItems() : changesFor(call);
+        }
         for (StoreChange &change : reply.changes) {
             change.revision.era = m_era;
         }
--- a/tests/usersplatform/storeclient_test.cpp
+++ b/tests/usersplatform/storeclient_test.cpp
@@ -1,11 +1,13 @@
 #include "platform/storeclient.h"
 
 #include "config/declaration.h"
+#include "platform/storedocuments.h"
 #include "support/rawserver.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <sodium.h>
 
 namespace damaskhall::platform {
 namespace {
@@ -46,6 +48,105 @@
     StoreClient client{context, server.endpoint()};
 };
 
+/// Returns the JSON text of an item whose value has @p digits Base64 digits.
+std::string foreignItem(int number, std::size_t digits)
+{
+    return R"({"key":"servers/i-5b00)" + std::to_string(10 + number) + R"(","value":")" +
+           std::string(digits, 'A') + R"(","revision":20,"created":20,"lease":0})";
+}
+
+// Guards against an instance that learns nothing from the store any more, because another program
+// has written large values among the entries of the upstreams.
+TEST_F(StoreClientTest, ReadsTheOthersBesideAnyNumberOfLargeValues)
+{
+    constexpr std::size_t LargestValueDigits = 1'398'104;
+    const std::string removal = R"({"key":"servers/i-a1","revision":21,"removed":true})";
+    for (const StoreCall::Kind kind : {StoreCall::Kind::Watch, StoreCall::Kind::List}) {
+        const std::string name = kind == StoreCall::Kind::List ? "items" : "events";
+        std::string body = R"({")" + name + R"(":[)";
+        for (int i = 0; i < 32; ++i) {
+            body += foreignItem(i, LargestValueDigits) + ",";
+        }
+        body += removal + R"(],"truncated":false,"as_of":21})";
+        response = RawServer::ok(body);
+        StoreCall request = watch(19);
+        request.kind = kind;
+        const StoreReply reply = call(request);
+        ASSERT_EQ(reply.outcome, StoreOutcome::Done) << reply.detail;
+        EXPECT_EQ(reply.bodyBytes, body.size());
+        ASSERT_EQ(reply.changes.size(), 33U);
+        EXPECT_NE(std::get<UpstreamRemoval>(reply.changes[0].content).mistake.find("longer than"),
+                  std::string::npos);
+        const auto &last = std::get<UpstreamRemoval>(reply.changes.back().content);
+        EXPECT_EQ(last.id, UpstreamId{0xa1});
+        EXPECT_TRUE(last.mistake.empty());
+    }
+}
+
+// Guards against a value of the largest permitted size that is treated in another way than the
+// smaller ones, or one byte above it.
+TEST_F(StoreClientTest, LeavesOutValuesAboveTheLimitOnly)
+{
+    const std::size_t limit = (MaxUpstreamBytes + 2) / 3 * 4;
+    for (const std::size_t digits : {limit - 4, limit, limit + 4}) {
+        response = RawServer::ok(R"({"events":[)" + foreignItem(1, digits) + R"(],"as_of":20})");
+        const StoreReply reply = call(watch(19));
+        ASSERT_EQ(reply.changes.size(), 1U);
+        const std::string mistake = std::get<UpstreamRemoval>(reply.changes[0].content).mistake;
+        EXPECT_EQ(mistake.find("longer than") != std::string::npos, digits >= limit) << mistake;
+    }
+}
+
+// Guards against a large declaration that is left out, and against one that is lost because its
+// value goes before its key.
+TEST_F(StoreClientTest, KeepsALargeDeclaration)
+{
+    std::string routes =
+            R"({"version":3,"services":[],"limits":{"idle_timeout_ms":15000},"routes":[)";
+    for (int port = 1; port <= 1500; ++port) {
+        routes += std::string(port > 1 ? "," : "") +
+                  R"({"name":"r","host":"198.18.0.1","prefix":"/)" + std::to_string(port) +
+                  R"(/","kind":"safe","timeout_ms":1500,"target_latency_ms":150,"service":"a"})";
+    }
+    routes += "]}";
+    std::string digits(sodium_base64_encoded_len(routes.size(), sodium_base64_VARIANT_ORIGINAL),
+                       '\0');
+    sodium_bin2base64(digits.data(), digits.size(),
+                      reinterpret_cast<const unsigned char *>(routes.data()), routes.size(),
+                      sodium_base64_VARIANT_ORIGINAL);
+    // The encoded length includes a terminating zero.
+    digits.pop_back();
+    for (const char *key : {"op/config", "op\\/config"}) {
+        response = RawServer::ok(R"({"events":[{"key":")" + std::string(key) + R"(","value":")" +
+                                 digits + R"(","revision":20}],"as_of":20})");
+        const StoreReply reply = call(watch(19));
+        EXPECT_FALSE(reply.isDeclarationLeftOut);
+        ASSERT_EQ(reply.changes.size(), 1U) << reply.detail;
+        const auto &declared = std::get<DeclaredRoutes>(reply.changes[0].content);
+        ASSERT_NE(declared.table, nullptr) << declared.mistake;
+        EXPECT_EQ(declared.table->routes.size(), 1500U);
+    }
+    response = RawServer::ok(R"({"events":[{"value":")" + digits +
+                             R"(","key":"op/config","revision":20}],"as_of":20})");
+    const StoreReply reply = call(watch(19));
+    EXPECT_TRUE(reply.isDeclarationLeftOut);
+    EXPECT_TRUE(reply.changes.empty());
+}
+
+// Guards against a watch whose answer is too large in many small parts: the caller has to know that
+// the same call would fail again.
+TEST_F(StoreClientTest, ReportsAnAnswerThatIsTooLarge)
+{
+    std::string body = R"({"events":[)";
+    for (int i = 0; i < 200; ++i) {
+        body += foreignItem(i, 87'380) + ",";
+    }
+    response = RawServer::ok(body + R"({"key":"x","revision":1,"removed":true}],"as_of":20})");
+    const StoreReply reply = call(watch(19));
+    EXPECT_EQ(reply.outcome, StoreOutcome::Oversized) << reply.detail;
+    EXPECT_NE(reply.detail.find("16777216"), std::string::npos) << reply.detail;
+}
+
 // Guards against list entries that are lost between pages or decoded wrongly.
 TEST_F(StoreClientTest, ReadsPaginatedList)
 {
