Identify an upstream by its whole key

Cause: the number that packets name was the identity of an upstream, so that the entries of two keys with one number replaced, removed or invalidated each other. Evidence: the upstream changes its address and start time at each write of the other program; with a key of another number nothing happens.

Packets and cookies have the number as before, so that flows survive an upgrade; if several upstreams share it, the one that the route leads to counts first.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -24,8 +24,6 @@
 using ClassId = StrongId<struct ClassTag, std::uint32_t>;
 /// Hash of a workspace name.
 using WorkspaceId = StrongId<struct WorkspaceTag, std::uint32_t>;
-/// Id of an upstream, given by the platform and never reused.
-using UpstreamId = StrongId<struct UpstreamTag, std::uint64_t>;
 /// Id of an entry instance (one balancer process), given by its settings.
 using InstanceId = StrongId<struct InstanceTag, std::uint32_t>;
 using DataCentreId = StrongId<struct DataCentreTag, std::uint32_t>;
@@ -40,8 +38,29 @@
 /// Revision of the declaration; accepted revisions only rise.
 using Revision = StrongId<struct RevisionTag, std::uint64_t>;
 
+/// Id of an upstream, given by the platform and never reused. Thread safety: a plain value.
+struct UpstreamId
+{
+    /// Number in packets. Other programs may register entries of the same number, so it does not
+    /// identify an upstream in the platform's store.
+    std::uint64_t value = 0;
+    /// Hash of the whole key in the platform's store; zero if the platform has no keys.
+    std::uint32_t keyHash = 0;
+
+    constexpr auto operator<=>(const UpstreamId &) const = default;
+};
+
 } // namespace damaskhall
 
+template <>
+struct std::hash<damaskhall::UpstreamId>
+{
+    std::size_t operator()(const damaskhall::UpstreamId &id) const noexcept
+    {
+        return std::hash<std::uint64_t>()(id.value ^ std::uint64_t{id.keyHash} << 32);
+    }
+};
+
 template <typename Tag, typename Rep>
 struct std::hash<damaskhall::StrongId<Tag, Rep>>
 {
--- a/src/core/flow/flowview.cpp
+++ b/src/core/flow/flowview.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <optional>
+#include <tuple>
 #include <xxhash.h>
 
 namespace damaskhall {
@@ -111,6 +112,21 @@
     return current;
 }
 
+// Other programs may register entries of the same number, and hashes may collide.
+bool FlowView::isBetterMatch(const UpstreamRecord &record, const UpstreamRecord &other,
+                             Endpoint route) const
+{
+    const Route *declared = m_routes->find(route);
+    const auto rank = [&](const UpstreamRecord &candidate) {
+        const ServiceId service = candidate.entry.service;
+        // The states are in descending order.
+        return std::tuple(declared && routesTo(*declared, service),
+                          m_routes->serviceNames.contains(service),
+                          -static_cast<int>(candidate.health));
+    };
+    return rank(record) > rank(other);
+}
+
 const UpstreamRecord *FlowView::findByCookie(FlowCookie cookie, Endpoint route) const
 {
     const std::uint32_t original = cookie.value == ZeroCookieSubstitute ? 0 : cookie.value;
@@ -122,8 +138,7 @@
         const UpstreamRecord *match = nullptr;
         for (; found != m_cookies.end() && found->base == base; ++found) {
             const UpstreamRecord &record = m_records[found->record];
-            const Route *declared = m_routes->find(route);
-            if (!match || (declared && routesTo(*declared, record.entry.service))) {
+            if (!match || isBetterMatch(record, *match, route)) {
                 match = &record;
             }
         }
--- a/src/core/flow/flowview.h
+++ b/src/core/flow/flowview.h
@@ -49,7 +49,7 @@
     const UpstreamRecord *findCurrent(UpstreamId id) const;
     /// Returns the current incarnation of the upstream with @p cookie for flows of @p route, or
     /// null. If several upstreams have that cookie, one of a service that the route sends flows to
-    /// is preferred.
+    /// is preferred, then one of a declared service, then the one in the better state.
     const UpstreamRecord *findByCookie(FlowCookie cookie, Endpoint route) const;
     /// Returns true if @p dataCentre may receive no new flows.
     bool isEvacuated(DataCentreId dataCentre) const { return m_evacuated.contains(dataCentre); }
@@ -81,6 +81,8 @@
     };
 
     void indexCookies();
+    bool isBetterMatch(const UpstreamRecord &record, const UpstreamRecord &other,
+                       Endpoint route) const;
 
     std::shared_ptr<const RouteTable> m_routes;
     std::vector<UpstreamRecord> m_records;
--- a/src/forwarder/forwardertelemetry.cpp
+++ b/src/forwarder/forwardertelemetry.cpp
@@ -310,6 +310,7 @@
         }
         d->log.log(LogLevel::Info, "upstreams", "An upstream changed.",
                    {{"upstream", hex(record.entry.key.id.value)},
+                    {"key_hash", hex(record.entry.key.id.keyHash)},
                     {"standing", std::string(toString(record.health))},
                     {"address", toString(record.entry.endpoint)},
                     {"born", std::to_string(record.entry.key.born.value)},
--- a/src/wire/directoryupdatecodec.cpp
+++ b/src/wire/directoryupdatecodec.cpp
@@ -13,10 +13,10 @@
 using packing::Packer;
 
 /// First byte. The high half differs from that of control datagrams.
-constexpr std::uint8_t DirectoryUpdateMarker = 0xd3;
+constexpr std::uint8_t DirectoryUpdateMarker = 0xd4;
 constexpr std::uint8_t MarkerKindMask = 0xf0;
 constexpr std::size_t HeadFields = 7;
-constexpr std::size_t RemovalFields = 2;
+constexpr std::size_t RemovalFields = 3;
 constexpr std::size_t EvacuationFields = 2;
 
 auto headFields(DirectoryUpdate &update)
@@ -27,8 +27,8 @@
 
 auto entryFields(StoreChange &change, UpstreamEntry &entry)
 {
-    return std::tie(change.revision.value, entry.key.id, entry.key.born, entry.service,
-                    entry.endpoint, entry.dataCentre, entry.slots, entry.isLeaving,
+    return std::tie(change.revision.value, entry.key.id.value, entry.key.id.keyHash, entry.key.born,
+                    entry.service, entry.endpoint, entry.dataCentre, entry.slots, entry.isLeaving,
                     entry.warmupLeft);
 }
 
@@ -40,7 +40,8 @@
         packing::packAll(packer, fields);
     } else if (const auto *removal = std::get_if<UpstreamRemoval>(&change.content)) {
         packer.pack_array(RemovalFields);
-        packing::packAll(packer, std::tie(change.revision.value, removal->id));
+        packing::packAll(packer,
+                         std::tie(change.revision.value, removal->id.value, removal->id.keyHash));
     }
 }
 
@@ -66,7 +67,8 @@
         change.content = entry;
     } else if (array.size == RemovalFields) {
         UpstreamRemoval removal;
-        packing::unpackAll(array.ptr, std::tie(change.revision.value, removal.id));
+        packing::unpackAll(array.ptr,
+                           std::tie(change.revision.value, removal.id.value, removal.id.keyHash));
         change.content = removal;
     } else {
         throw BadElement();
--- a/tests/core/flow/flowrouter_test.cpp
+++ b/tests/core/flow/flowrouter_test.cpp
@@ -241,6 +241,53 @@
     EXPECT_EQ(decision.cookie, flowCookie(makeEntry(1).key.id, test::BoardRoute));
 }
 
+// Entries of other programs, of a service that is not declared, whose keys end in the same number
+// as that of a live upstream.
+class FlowEntryOfTheSameNumber : public ::testing::Test
+{
+protected:
+    FlowEntryOfTheSameNumber()
+    {
+        m_live.key.id.keyHash = 1;
+        // Sorted before, and after, the live upstream.
+        for (const std::uint32_t keyHash : {0U, 9U}) {
+            UpstreamEntry entry = makeEntry(1, 2000);
+            entry.key.id.keyHash = keyHash;
+            entry.service = ServiceId{99};
+            entry.endpoint = makeEntry(50 + keyHash).endpoint;
+            m_others.push_back(entry);
+        }
+    }
+
+    void publishAll(FlowRouterFixture &balancer, UpstreamHealth health) const
+    {
+        balancer.publishRecords({{m_live, health, {}},
+                                 {m_others[0], UpstreamHealth::Ready, {}},
+                                 {m_others[1], UpstreamHealth::Ready, {}}});
+    }
+
+    UpstreamEntry m_live = makeEntry(1);
+    std::vector<UpstreamEntry> m_others;
+    FlowRouterFixture fixture;
+};
+
+// Guards against open flows that go to the address in the entry of another program, at balancers
+// that know the flow and at others, and in every state of the upstream but replaced.
+TEST_F(FlowEntryOfTheSameNumber, TakesNoFlowFromTheUpstream)
+{
+    fixture.publish({m_live});
+    const FlowDecision placed = fixture.open(1);
+    ASSERT_EQ(placed.upstream, m_live.key);
+    for (const auto health : {UpstreamHealth::Ready, UpstreamHealth::Unconfirmed,
+                              UpstreamHealth::Leaving, UpstreamHealth::Gone}) {
+        publishAll(fixture, health);
+        EXPECT_EQ(fixture.send(makeDataPacket(1, placed.cookie, 10)).endpoint, m_live.endpoint);
+        FlowRouterFixture other(2);
+        publishAll(other, health);
+        EXPECT_EQ(other.send(makeDataPacket(1, placed.cookie, 10)).endpoint, m_live.endpoint);
+    }
+}
+
 // Flows that a balancer resets, and flows that it must not reset.
 class FlowRefusals : public ::testing::Test
 {
--- a/tests/core/flow/upstreamdirectory_test.cpp
+++ b/tests/core/flow/upstreamdirectory_test.cpp
@@ -56,6 +56,24 @@
     EXPECT_EQ(health(first), UpstreamHealth::Leaving);
 }
 
+// Guards against an upstream that is taken for gone or replaced because another program registers,
+// changes or removes an entry whose key ends in the same number.
+TEST_F(UpstreamDirectoryTest, TellsEntriesOfTheSameNumberApart)
+{
+    UpstreamEntry other = makeEntry(1, 2000);
+    other.key.id.keyHash = 9;
+    other.endpoint = makeEntry(2).endpoint;
+    directory.handleEntry(first, {5}, now);
+    directory.handleEntry(other, {6}, now);
+    EXPECT_EQ(health(first), UpstreamHealth::Ready);
+    directory.handleEntry(first, {7}, now);
+    directory.handleRemoval(other.key.id, {8}, now);
+    EXPECT_EQ(health(first), UpstreamHealth::Ready);
+    EXPECT_EQ(health(other), UpstreamHealth::Gone);
+    EXPECT_EQ(directory.handleCompleteList({first.key.id}, {9}, now).size(), 0U);
+    EXPECT_EQ(health(first), UpstreamHealth::Ready);
+}
+
 // Guards against an outage of the store that removes all upstreams of a service.
 TEST_F(UpstreamDirectoryTest, KeepsExpiredUpstreamUnconfirmedAfterStoreOutage)
 {
--- a/tests/usersplatform/storeclient_test.cpp
+++ b/tests/usersplatform/storeclient_test.cpp
@@ -78,7 +78,7 @@
         EXPECT_NE(std::get<UpstreamRemoval>(reply.changes[0].content).mistake.find("longer than"),
                   std::string::npos);
         const auto &last = std::get<UpstreamRemoval>(reply.changes.back().content);
-        EXPECT_EQ(last.id, UpstreamId{0xa1});
+        EXPECT_EQ(last.id, parseUpstreamId("servers/i-a1"));
         EXPECT_TRUE(last.mistake.empty());
     }
 }
@@ -165,7 +165,7 @@
     ASSERT_EQ(reply.changes.size(), 2U) << "keys of other writers are ignored";
     EXPECT_EQ(std::get<DeclaredRoutes>(reply.changes[0].content).table, nullptr);
     const auto &invalidEntry = std::get<UpstreamRemoval>(reply.changes[1].content);
-    EXPECT_EQ(invalidEntry.id, UpstreamId{10});
+    EXPECT_EQ(invalidEntry.id, parseUpstreamId("servers/i-0a"));
     EXPECT_FALSE(invalidEntry.mistake.empty());
     StoreCall next;
     next.pageAfter = "servers/i-0a";
@@ -197,7 +197,8 @@
             << lastRequestHead;
     ASSERT_EQ(reply.changes.size(), 1U);
     EXPECT_EQ(reply.changes[0].revision, StoreRevision{413});
-    EXPECT_EQ(std::get<UpstreamRemoval>(reply.changes[0].content).id, UpstreamId{11});
+    EXPECT_EQ(std::get<UpstreamRemoval>(reply.changes[0].content).id,
+              parseUpstreamId("servers/i-0b"));
 }
 
 // Guards against evacuations that are taken for keys of other programs.
--- a/tests/usersplatform/storedocuments_test.cpp
+++ b/tests/usersplatform/storedocuments_test.cpp
@@ -23,7 +23,8 @@
     const auto content = decodeUpstream("servers/i-7f3a91c2", Entry);
     const auto *entry = std::get_if<UpstreamEntry>(&content);
     ASSERT_NE(entry, nullptr);
-    EXPECT_EQ(entry->key.id, UpstreamId{0x7f3a91c2});
+    EXPECT_EQ(entry->key.id, parseUpstreamId("servers/i-7f3a91c2"));
+    EXPECT_EQ(entry->key.id.value, 0x7f3a91c2U);
     EXPECT_EQ(entry->key.born, Incarnation{1700000000123});
     EXPECT_EQ(entry->service, serviceId("board"));
     EXPECT_EQ(toString(entry->endpoint), "10.128.0.9:8080");
@@ -71,7 +72,7 @@
         const auto content = decodeUpstream("servers/i-7f", value);
         const auto *removal = std::get_if<UpstreamRemoval>(&content);
         ASSERT_NE(removal, nullptr) << value;
-        EXPECT_EQ(removal->id, UpstreamId{0x7f});
+        EXPECT_EQ(removal->id, parseUpstreamId("servers/i-7f"));
         EXPECT_FALSE(removal->mistake.empty()) << value;
     }
 }
@@ -104,13 +105,32 @@
 // Guards against accepting keys without a valid upstream id.
 TEST(UpstreamDocument, ParsesIdFromKey)
 {
-    EXPECT_EQ(parseUpstreamId("servers/i-0a"), UpstreamId{10});
+    const auto id = parseUpstreamId("servers/i-0a");
+    ASSERT_TRUE(id);
+    EXPECT_EQ(id->value, 10U);
+    EXPECT_EQ(parseUpstreamId("servers/i-0a"), id);
     for (const char *key :
          {"servers/", "servers/i-", "servers/i-xyz", "servers/i-00112233445566778"}) {
         EXPECT_FALSE(parseUpstreamId(key)) << key;
     }
 }
 
+// Guards against another program's entry that takes over the flows of an upstream, because its key
+// ends in the same number.
+TEST(UpstreamDocument, TellsKeysThatEndInTheSameNumberApart)
+{
+    const auto id = parseUpstreamId("servers/i-7f3a9006");
+    ASSERT_TRUE(id);
+    for (const char *key : {"servers/standby-i-7f3a9006", "servers/audit-7f3a9006",
+                            "servers/i-07f3a9006", "servers/i-7F3A9006"}) {
+        const auto other = parseUpstreamId(key);
+        ASSERT_TRUE(other) << key;
+        EXPECT_EQ(other->value, id->value) << key;
+        EXPECT_NE(*other, *id) << key;
+        EXPECT_EQ(std::get<UpstreamRemoval>(decodeUpstream(key, "{")).id, *other) << key;
+    }
+}
+
 // Guards against an evacuation that is applied to another data centre than the upstreams name.
 TEST(EvacuationDocument, NamesTheDataCentreOfTheUpstreams)
 {
--- a/tests/wire/directoryupdatecodec_test.cpp
+++ b/tests/wire/directoryupdatecodec_test.cpp
@@ -18,10 +18,13 @@
     update.to = {1200, {3}};
     update.declaration = {9};
     for (std::size_t i = 0; i < changes; ++i) {
+        const auto index = static_cast<std::uint32_t>(i);
         if (i % 3 == 2) {
-            update.changes.push_back({{1100 + i, {3}}, UpstreamRemoval{{i}, {}}});
+            update.changes.push_back(
+                    {{1100 + i, {3}}, UpstreamRemoval{{i, 0xf0000000 + index}, {}}});
         } else {
             UpstreamEntry entry = test::makeEntry(0x1122334455667700 + i, 1'800'000'000'000);
+            entry.key.id.keyHash = 0xf0000000 + index;
             entry.warmupLeft = 1500_ms;
             entry.isLeaving = i % 2 == 0;
             update.changes.push_back({{1100 + i, {3}}, entry});
@@ -52,6 +55,9 @@
         if (const auto *entry = std::get_if<UpstreamEntry>(&read.changes[i].content)) {
             EXPECT_EQ(*entry, std::get<UpstreamEntry>(update.changes[i].content));
         }
+        if (const auto *removal = std::get_if<UpstreamRemoval>(&read.changes[i].content)) {
+            EXPECT_EQ(removal->id, std::get<UpstreamRemoval>(update.changes[i].content).id);
+        }
     }
 }
 
