--- a/src/config/forwardersettings.cpp
+++ b/src/config/forwardersettings.cpp
@@ -12,6 +12,14 @@
 
 constexpr const char *SectionName = "forwarder";
 
+/// The leaving limit covers three stages: the watch that reports the leaving upstream, the
+/// retransmissions of the last opening packet (600 ms), and the transit time of the packets.
+constexpr std::int64_t ConfirmationsPerLimit = 3;
+/// Some times the time of an answer of the store.
+constexpr Milliseconds MinConfirmationInterval = 100_ms;
+/// Platforms keep changes for 20 s, and let a watch wait for 30 s at most.
+constexpr Milliseconds MaxConfirmationInterval = 10_s;
+
 struct Field
 {
     std::string key;
@@ -58,9 +66,9 @@
 
 // A limit that the platform does not state keeps its default, and one of zero counts as the
 // shortest possible: a process that does not start holds no limit at all.
-Field limitField(std::string key, Milliseconds ForwarderSettings::*member)
+Field limitField(std::string key, Milliseconds ForwarderSettings::*member, bool isRequired = true)
 {
-    return {std::move(key), true, "a number with unit, such as '3000 ms' or '6.5 s'",
+    return {std::move(key), isRequired, "a number with unit, such as '3000 ms' or '6.5 s'",
             [member](ForwarderSettings &settings, const std::string &text) {
                 if (isUnstated(text)) {
                     return true;
@@ -123,12 +131,8 @@
                  return readLogLevel(text, settings.logLevel);
              }},
             namesField("data_centres", &ForwarderSettings::dataCentres),
-            optionalField("evacuation_limit", "a number with unit above zero, or nothing",
-                          [](ForwarderSettings &settings, const std::string &text) {
-                              settings.evacuationLimit = parseDecimalDuration(text).value_or(0_ms);
-                              return settings.evacuationLimit > 0_ms;
-                          }),
-            optionalNumberField("cold_overshoot", 1.0, &ForwarderSettings::coldOvershoot),
+            limitField("evacuation_limit", &ForwarderSettings::evacuationLimit, false),
+            optionalNumberField("cold_overshoot", 0.0, &ForwarderSettings::coldOvershoot),
             optionalNumberField("cold_slack", 0.0, &ForwarderSettings::coldSlack),
             optionalNumberField("link_mbps", 0.0, &ForwarderSettings::linkMbps),
             namesField("platform_features", &ForwarderSettings::platformFeatures),
@@ -182,4 +186,14 @@
     return settings;
 }
 
+Milliseconds confirmationInterval(const ForwarderSettings &settings)
+{
+    Milliseconds shortest = std::min(settings.leavingLimit, settings.declarationLimit);
+    if (settings.evacuationLimit > 0_ms) {
+        shortest = std::min(shortest, settings.evacuationLimit);
+    }
+    return std::clamp(shortest / ConfirmationsPerLimit, MinConfirmationInterval,
+                      MaxConfirmationInterval);
+}
+
 } // namespace damaskhall
--- a/src/config/forwardersettings.h
+++ b/src/config/forwardersettings.h
@@ -60,4 +60,8 @@
 /// mistakes. Thread safety: reentrant.
 ForwarderSettings checkForwarderSettings(const IniDocument &document, Diagnostics &diagnostics);
 
+/// Returns the longest time between two confirmations of what is known of the store with which the
+/// limits are kept: a third of the shortest one, and 100 ms to 10 s. Thread safety: reentrant.
+Milliseconds confirmationInterval(const ForwarderSettings &settings);
+
 } // namespace damaskhall
--- a/src/forwarder/forwarderprocess.cpp
+++ b/src/forwarder/forwarderprocess.cpp
@@ -37,11 +37,6 @@
 constexpr Milliseconds ShutdownReserve = 1500_ms;
 /// A reachable host accepts a connection within a few round trips between data centres.
 constexpr Milliseconds ProbeTimeout = 150_ms;
-/// The leaving limit covers three stages: the watch that reports the leaving upstream, the
-/// retransmissions of the last opening packet (600 ms), and the transit time of the packets.
-constexpr std::int64_t ConfirmationsPerLeavingLimit = 3;
-/// Shortest confirmation interval, whatever the limits: some times that of an answer of the store.
-constexpr Milliseconds MinConfirmationInterval = 100_ms;
 
 constexpr double BytesPerMillisecondAndMbps = 125;
 
@@ -133,16 +128,7 @@
     void makeController()
     {
         FlowController::Times times;
-        times.reader.confirmationInterval =
-                std::min(settings.leavingLimit, settings.declarationLimit) /
-                ConfirmationsPerLeavingLimit;
-        if (settings.evacuationLimit > 0_ms) {
-            times.reader.confirmationInterval =
-                    std::min(times.reader.confirmationInterval,
-                             settings.evacuationLimit / ConfirmationsPerLeavingLimit);
-        }
-        times.reader.confirmationInterval =
-                std::max(times.reader.confirmationInterval, MinConfirmationInterval);
+        times.reader.confirmationInterval = confirmationInterval(settings);
         times.reader.watchInterval = times.reader.confirmationInterval / 2;
         // Two confirmation intervals and the time of a slow answer (500 ms).
         times.confirmation = times.reader.confirmationInterval * 2 + 500_ms;
