--- a/soak/soak.py
+++ b/soak/soak.py
@@ -35,6 +35,9 @@
 STABILITY_S = 4.0  # a disturbed process or link is not judged for this long afterwards
 CHECK_SLACK_S = 0.5  # the checks run in one process with everything else
 HEARTBEAT_S = 1.2
+SEQUENCE_MASK = 0xffffffff
+MAX_FLOW_BYTES = 1 << 20  # that a client sends
+USED_PORTS = range(1024, 1152)  # of a client that uses its ports again
 RESET_WINDOW = 76800  # an open flow takes a reset whose number is this near to its last acknowledgment
 RECOVERY_SHARE = 0.9  # of the requests after the last fault must be served
 SYN, ACK, FIN, RST = 64, 1, 128, 32
@@ -68,6 +71,7 @@
         self.series_random = random.Random(f"series {options.seed}")
         # Used by the restorations alone, so that a seed fixes their times and losses.
         self.restore_random = random.Random(f"restore {options.seed}")
+        self.reuse_random = random.Random(f"reuse {options.seed}")
         self.evacuate_random = random.Random(f"evacuate {options.seed}")
         self.evacuated_at = {}  # by zone: when the store acknowledged it
         self.restored_at = {}  # by zone: when the evacuation ended
@@ -214,6 +218,7 @@
         self.identity = 0x1000 + index
         self.born = 1_800_000_000_000 + index
         self.flows = {}
+        self.openings = {}  # by flow: number of its opening packet
         self.state = "ready"
         self.leaving_since = None
         self.is_alive = True
@@ -313,16 +318,21 @@
         forwarder = self.world.forwarders_by_address.get(address[0])
         if flags & SYN:
             self.check_opening(flow, forwarder)
-            self.flows.setdefault(flow, zlib.crc32(repr((flow, self.born)).encode()) >> 1)
-            self.send(flow, SYN | ACK, self.flows[flow], seq + 1, b"", echo)
+            if flow not in self.flows or self.openings.get(flow) != seq:
+                self.openings[flow] = seq
+                self.flows[flow] = zlib.crc32(repr((flow, self.born, seq)).encode()) >> 1
+            self.send(flow, SYN | ACK, self.flows[flow], (seq + 1) & SEQUENCE_MASK, b"", echo)
         elif flow not in self.flows:
+            if self.world.options.reuse:
+                self.check_stray(flow, forwarder, seq)
             self.send(flow, RST, 0, seq, b"", echo, checksum=1)
         elif flags & (FIN | RST):
             self.flows.pop(flow, None)
         elif length > 0:
             body = data[40:40 + length]
             asyncio.get_running_loop().call_later(
-                self.world.random.uniform(0.01, 0.04), self.reply, flow, seq + length, body, echo)
+                self.world.random.uniform(0.01, 0.04), self.reply, flow, (seq + length) & SEQUENCE_MASK,
+                body, echo)
 
     def reply(self, flow, acknowledged, body, echo):
         if self.is_alive and flow in self.flows:
@@ -339,6 +349,19 @@
         client = ".".join(str(part) for part in struct.pack(">I", src))
         self.transport.sendto(head + body, (client, PACKET_PORT))
 
+    def check_stray(self, flow, forwarder, seq):
+        """A packet of an open flow must not reach an upstream that resets it in place of its own."""
+        world, now = self.world, self.world.now()
+        opened = next((client.flows.get(flow[1]) for client in world.clients
+                       if number(client.address) == flow[0]), None)
+        if not opened or not opened["open"] or opened["route"] != flow[3] or forwarder is None or \
+                opened["upstream"] == self.address or (seq - opened["first"]) & SEQUENCE_MASK > MAX_FLOW_BYTES:
+            return
+        holder = world.upstreams_by_address[opened["upstream"]]
+        if holder.is_alive and now - holder.disturbed_at > STABILITY_S and \
+                flow[3] not in world.removed_at and forwarder.is_in_touch(now, opened["opened"]):
+            world.violate("flow", f"{forwarder.name} sent a flow of {holder.key()} to {self.key()}, which resets it")
+
     def check_opening(self, flow, forwarder):
         world = self.world
         now = world.now()
@@ -482,9 +505,14 @@
                     self.world.count("resets out of the window")
                     return
                 self.check_reset(flow, self.world.forwarders_by_address[address[0]])
+            elif (ack - flow["first"]) & SEQUENCE_MASK > MAX_FLOW_BYTES:
+                return  # for a packet of the flow before
             flow["reset"] = True
             flow["event"].set()
             return
+        is_own = ack == (flow["first"] + 1) & SEQUENCE_MASK if flags & SYN else flow["upstream"] == address[0]
+        if not is_own:
+            return  # of the flow before from this port
         flow["echo"] = echo
         if flags & SYN:
             if not flow["open"]:
@@ -523,8 +551,13 @@
         self.transport.sendto(head + body, (forwarder.address, PACKET_PORT))
 
     async def open(self, route):
-        self.port = 1024 + (self.port - 1023) % 60000
-        flow = {"port": self.port, "route": route, "seq": 1000, "ack": 0, "echo": 0, "copy": 0,
+        first = 1000
+        if self.world.options.reuse:
+            self.port = self.world.reuse_random.choice([port for port in USED_PORTS if port not in self.flows])
+            first = self.world.reuse_random.getrandbits(32)
+        else:
+            self.port = 1024 + (self.port - 1023) % 60000
+        flow = {"port": self.port, "route": route, "first": first, "seq": first, "ack": 0, "echo": 0, "copy": 0,
                 "open": False, "reset": False, "answer": None, "expected": None, "event": asyncio.Event(),
                 "upstream": None, "opened": 0.0}
         self.flows[flow["port"]] = flow
@@ -534,7 +567,7 @@
             await self.wait(flow, wait)
             if flow["open"] or flow["reset"]:
                 break
-        flow["seq"] = 1001
+        flow["seq"] = (first + 1) & SEQUENCE_MASK
         return flow
 
     async def wait(self, flow, seconds):
@@ -547,7 +580,7 @@
     async def ask(self, flow, limit=1.5):
         body = f"{self.address}:{flow['port']} {self.world.random.random()}".encode()
         flow["answer"] = None
-        flow["expected"] = flow["seq"] + len(body)
+        flow["expected"] = (flow["seq"] + len(body)) & SEQUENCE_MASK
         end, interval = self.world.now() + limit, 0.2
         while self.world.now() < end and not flow["reset"]:
             self.send(flow, ACK, body)
@@ -555,7 +588,7 @@
             while flow["answer"] is None and not flow["reset"] and self.world.now() < min(resend, end):
                 await self.wait(flow, min(resend, end) - self.world.now())
             if flow["answer"] is not None:
-                flow["seq"] += len(body)
+                flow["seq"] = flow["expected"]
                 if flow["answer"] != b"answer to " + body:
                     self.world.violate("answer", "an answer of another request")
                 return True
@@ -908,6 +941,8 @@
                         help="also a store that returns from older copies of itself")
     parser.add_argument("--evacuate", action="store_true",
                         help="also two data centres that an operator empties and fills again")
+    parser.add_argument("--reuse", action="store_true",
+                        help="also clients that use a port again for their next flow")
     parser.add_argument("--network", type=int, default=81, help="second part of all addresses")
     options = parser.parse_args()
     global network
