--- a/src/config/forwardersettings.cpp
+++ b/src/config/forwardersettings.cpp
@@ -79,12 +79,13 @@
             }};
 }
 
+// An empty value keeps the default: platforms leave out what they do not state.
 Field optionalField(std::string key, std::string expected,
                     std::function<bool(ForwarderSettings &, const std::string &)> read)
 {
     return {std::move(key), false, std::move(expected),
             [read = std::move(read)](ForwarderSettings &settings, const std::string &text) {
-                return isUnstated(text) || read(settings, text);
+                return text.empty() || read(settings, text);
             }};
 }
 
@@ -92,8 +93,8 @@
 {
     return optionalField(std::move(key), "a number from " + std::to_string(minimum) + " on",
                          [member, minimum](ForwarderSettings &settings, const std::string &text) {
-                             return readNumber(text, settings.*member) &&
-                                    settings.*member >= minimum;
+                             return isUnstated(text) || (readNumber(text, settings.*member) &&
+                                                         settings.*member >= minimum);
                          });
 }
 
--- a/tests/config/forwardersettings_test.cpp
+++ b/tests/config/forwardersettings_test.cpp
@@ -125,6 +125,8 @@
         }
     }
     Diagnostics diagnostics("front.ini");
+    EXPECT_EQ(check(withEntry("data_centres", "s"), diagnostics).dataCentres.size(), 1U)
+            << "a name";
     EXPECT_EQ(check(withEntry("stop_limit", "0 s"), diagnostics).stopLimit, 1_ms);
     EXPECT_EQ(check(withEntry("evacuation_limit", "0 ms"), diagnostics).evacuationLimit, 1_ms);
     EXPECT_TRUE(diagnostics.isEmpty()) << diagnostics.text();
