Count packets that go astray by the cookie of a second upstream

Trace: client 127.124.2.3:1139 sent copy 0 of its opening packet to front-2, which had just started and held it, and copy 1 to front-5, which placed it at 1001; 28 ms later front-2 placed the held one at 1004. Both answered, the client opened the flow at 1001 and took the cookie of 1004 last. 5 s later a packet passed front-2, which has no record after 2 s, and went to 1004 by its cookie.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -358,7 +358,10 @@
                 opened["upstream"] == self.address or (seq - opened["first"]) & SEQUENCE_MASK > MAX_FLOW_BYTES:
             return
         holder = world.upstreams_by_address[opened["upstream"]]
-        if holder.is_alive and now - holder.disturbed_at > STABILITY_S and \
+        if opened["echo"] != opened["own_echo"]:
+            # A second upstream answered a copy of the opening packet, and its cookie came last.
+            self.world.count("packets astray by the cookie of a second upstream")
+        elif holder.is_alive and now - holder.disturbed_at > STABILITY_S and \
                 flow[3] not in world.removed_at and forwarder.is_in_touch(now, opened["opened"]):
             world.violate("flow", f"{forwarder.name} sent a flow of {holder.key()} to {self.key()}, which resets it")
 
@@ -514,6 +517,8 @@
         if not is_own:
             return  # of the flow before from this port
         flow["echo"] = echo
+        if flow["upstream"] in (None, address[0]):
+            flow["own_echo"] = echo
         if flags & SYN:
             if not flow["open"]:
                 flow.update(open=True, ack=seq + 1, upstream=address[0], opened=self.world.now())
@@ -557,7 +562,7 @@
             first = self.world.reuse_random.getrandbits(32)
         else:
             self.port = 1024 + (self.port - 1023) % 60000
-        flow = {"port": self.port, "route": route, "first": first, "seq": first, "ack": 0, "echo": 0, "copy": 0,
+        flow = {"port": self.port, "route": route, "first": first, "seq": first, "own_echo": 0, "ack": 0, "echo": 0, "copy": 0,
                 "open": False, "reset": False, "answer": None, "expected": None, "event": asyncio.Event(),
                 "upstream": None, "opened": 0.0}
         self.flows[flow["port"]] = flow
