--- a/soak/soak.py
+++ b/soak/soak.py
@@ -39,6 +39,7 @@
 MAX_FLOW_BYTES = 1 << 20  # that a client sends
 USED_PORTS = range(1024, 1152)  # of a client that uses its ports again
 RESET_WINDOW = 76800  # an open flow takes a reset whose number is this near to its last acknowledgment
+KNOWN_RED = "flow by the cookie of a second upstream"  # listed in KNOWN-RED.txt
 RECOVERY_SHARE = 0.9  # of the requests after the last fault must be served
 SYN, ACK, FIN, RST = 64, 1, 128, 32
 HEAD = struct.Struct("<IBBHHIIIIHI")  # sum flags pad dport sport src dst seq ack len echo
@@ -358,12 +359,11 @@
                 opened["upstream"] == self.address or (seq - opened["first"]) & SEQUENCE_MASK > MAX_FLOW_BYTES:
             return
         holder = world.upstreams_by_address[opened["upstream"]]
-        if opened["echo"] != opened["own_echo"]:
-            # A second upstream answered a copy of the opening packet, and its cookie came last.
-            self.world.count("packets astray by the cookie of a second upstream")
-        elif holder.is_alive and now - holder.disturbed_at > STABILITY_S and \
+        if holder.is_alive and now - holder.disturbed_at > STABILITY_S and \
                 flow[3] not in world.removed_at and forwarder.is_in_touch(now, opened["opened"]):
-            world.violate("flow", f"{forwarder.name} sent a flow of {holder.key()} to {self.key()}, which resets it")
+            # A second upstream may have answered a copy of the opening packet, and its cookie came last.
+            promise = "flow" if opened["echo"] == opened["own_echo"] else KNOWN_RED
+            world.violate(promise, f"{forwarder.name} sent a flow of {holder.key()} to {self.key()}, which resets it")
 
     def check_opening(self, flow, forwarder):
         world = self.world
@@ -948,6 +948,8 @@
                         help="also two data centres that an operator empties and fills again")
     parser.add_argument("--reuse", action="store_true",
                         help="also clients that use a port again for their next flow")
+    parser.add_argument("--known-red", action="store_true",
+                        help="do not fail because of the promise that KNOWN-RED.txt lists; print it")
     parser.add_argument("--network", type=int, default=81, help="second part of all addresses")
     options = parser.parse_args()
     global network
@@ -967,9 +969,10 @@
     ok = sum(served for _, served in soak.results)
     print(f"seed {options.seed}: {ok} of {len(soak.results)} requests served; "
           f"{', '.join(f'{k} {v}' for k, v in sorted(soak.counts.items()))}; logs in {folder}")
+    known = [each for each in soak.violations if options.known_red and f" s {KNOWN_RED}: " in each]
     for violation in soak.violations[:20]:
-        print("broken promise:", violation)
-    return 1 if soak.violations else 0
+        print("known red:" if violation in known else "broken promise:", violation)
+    return 1 if len(soak.violations) > len(known) else 0
 
 
 if __name__ == "__main__":
