--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -63,9 +63,9 @@
 class World:
     """Common clock, record and addresses."""
 
-    def __init__(self, record):
+    def __init__(self, record, mode="w"):
         self.started = time.monotonic()
-        self.record = open(record, "w", encoding="utf-8")
+        self.record = open(record, mode, encoding="utf-8")
         self.violations = []
         self.is_over = False
         self.is_planned = False  # only planned work is done
@@ -156,6 +156,7 @@
         self.world = world
         self.items, self.events, self.revision = {}, [], 10
         self.changed = asyncio.Event()
+        self.channels = []  # of each open one: when it was last used, and whether it has gone silent
         self.address = world.ip(5, 1)
 
     async def start(self):
@@ -176,16 +177,30 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def lose_idle_channels(self, idle_s):
+        """Channels without traffic for that long go silent for good; new ones work."""
+        for channel in self.channels:
+            if time.monotonic() - channel["used"] >= idle_s and not channel["silent"]:
+                channel["silent"] = True
+                self.world.note(f"the channel of {channel['peer']} to the store has gone silent")
+
     async def connection(self, reader, writer):
+        channel = {"used": time.monotonic(), "silent": False, "peer": writer.get_extra_info("peername")[0]}
+        self.channels.append(channel)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
+                while channel["silent"]:
+                    await asyncio.sleep(1)
+                channel["used"] = time.monotonic()
                 length = re.search(rb"(?i)content-length: *(\d+)", head)
                 body = await reader.readexactly(int(length[1])) if length else b""
                 await self.reply(head, body, writer)
+                channel["used"] = time.monotonic()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.channels.remove(channel)
             writer.close()
 
     async def reply(self, head, body, writer):
@@ -244,6 +259,7 @@
         self.settings = os.path.join(world.folder.name, f"{self.name}.ini")
         self.process = None
         self.disturbed_until = 0.0  # world time; infinity while the disturbance lasts
+        self.is_removed = False  # for good, without a replacement
         self.is_in_rotation, self.misses = False, PROBE_MISSES
         self.fields = {
             "node_id": self.name, "zone": zone, "region": "central-hills", "zones": zones,
@@ -297,7 +313,7 @@
         self.world.note(f"{self.name} ended with {status}")
         self.disturbed_until = max(self.disturbed_until, self.world.now())
         await asyncio.sleep(0.3)
-        if not self.world.is_over:
+        if not self.world.is_over and not self.is_removed:
             await self.start()
             self.disturbed_until = max(self.disturbed_until, self.world.now())
 
@@ -315,6 +331,14 @@
                 self.world.note(f"{self.name} is {'in' if self.is_in_rotation else 'out of'} rotation")
             await asyncio.sleep(max(0.0, begun + PROBE_S - time.monotonic()))
 
+    async def read_metric(self, name):
+        """Returns the value of a line of the program's own metrics."""
+        reader, writer = await asyncio.open_connection(self.address, READY_PORT)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        lines = (await reader.read()).decode().splitlines()
+        writer.close()
+        return sum(float(line.rsplit(" ", 1)[1]) for line in lines if line.startswith(name))
+
     async def probe(self):
         reader, writer = await asyncio.open_connection(self.address, READY_PORT)
         try:
@@ -490,7 +514,8 @@
 
     def route(self, port, dport):
         """Rendezvous hash over the nodes in rotation: only the flows of a node move."""
-        nodes = self.world.forwarders
+        nodes = [node for node in self.world.forwarders
+                 if not node.is_removed or node.misses < PROBE_MISSES]
         rotation = [node for node in nodes if node.is_in_rotation]
         if 2 * len(rotation) < len(nodes):
             rotation = nodes
